Thin path: a keyed, streamed request reaches an engine and comes back

Cause: nothing ran yet. Conclusion: the ports in internal/serving are in place; rates, fair queueing, claims, billing and observation are passed through until their duties land.

--- /dev/null
+++ b/cmd/cuminwing/main.go
@@ -0,0 +1,12 @@
+// Command cuminwing is the operators' tool.
+package main
+
+import (
+	"os"
+
+	"github.com/cuminwing/cuminwing/internal/cli"
+)
+
+func main() {
+	os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/cmd/cuminwingd/main.go
@@ -0,0 +1,71 @@
+// Command cuminwingd is the daemon that runs on every VM.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"go.uber.org/zap"
+
+	"github.com/cuminwing/cuminwing/internal/config"
+	"github.com/cuminwing/cuminwing/internal/daemon"
+	"github.com/cuminwing/cuminwing/internal/settings"
+)
+
+const (
+	exitOK      = 0
+	exitFailed  = 1
+	exitRefused = 2
+)
+
+func main() {
+	app := kingpin.New("cuminwingd", "Routes language-model requests with long shared prompts.")
+	file := app.Flag("settings", "Settings file of this VM (JSON).").Required().PlaceHolder("FILE").String()
+	check := app.Flag("check", "Check the settings and exit.").Bool()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	os.Exit(run(*file, *check))
+}
+
+func run(file string, check bool) int {
+	s, err := settings.Load(file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitRefused
+	}
+	if check {
+		fmt.Println("settings are valid")
+		return exitOK
+	}
+	logger, err := zap.NewProduction()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	defer func() { _ = logger.Sync() }()
+	return serve(s, logger)
+}
+
+func serve(s settings.Settings, logger *zap.Logger) int {
+	stop, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer release()
+	document, err := config.LoadFile(s.DocumentFile)
+	if err != nil {
+		logger.Error("document refused", zap.Error(err))
+		return exitRefused
+	}
+	node, err := daemon.Start(s, daemon.Options{Logger: logger, Document: document})
+	if err != nil {
+		logger.Error("start failed", zap.Error(err))
+		return exitFailed
+	}
+	<-stop.Done()
+	if err := node.Shutdown(context.Background()); err != nil {
+		logger.Error("shutdown was cut short", zap.Error(err))
+		return exitFailed
+	}
+	return exitOK
+}
--- /dev/null
+++ b/internal/config/file.go
@@ -0,0 +1,53 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+)
+
+// InvalidError lists why a document is refused.
+type InvalidError struct{ Problems []Problem }
+
+// Error returns the problems, one on a line.
+func (e *InvalidError) Error() string {
+	var buf bytes.Buffer
+	buf.WriteString("the document is refused:")
+	for _, p := range e.Problems {
+		buf.WriteString("\n  " + p.String())
+	}
+	return buf.String()
+}
+
+// Parse decodes and validates a document.
+func Parse(data []byte) (*Document, error) {
+	var d Document
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&d); err != nil {
+		return nil, &InvalidError{[]Problem{{Path: "$", Reason: err.Error()}}}
+	}
+	if problems := d.Validate(); len(problems) > 0 {
+		return nil, &InvalidError{problems}
+	}
+	return &d, nil
+}
+
+// LoadFile reads a document; an empty name gives none.
+func LoadFile(name string) (*Document, error) {
+	if name == "" {
+		return nil, nil
+	}
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return nil, fmt.Errorf("read document: %w", err)
+	}
+	d, err := Parse(data)
+	var invalid *InvalidError
+	if errors.As(err, &invalid) {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	return d, err
+}
--- /dev/null
+++ b/internal/config/validate.go
@@ -0,0 +1,226 @@
+package config
+
+import (
+	"fmt"
+	"sort"
+
+	"github.com/cuminwing/cuminwing/internal/keys"
+)
+
+// Problem is one reason why a document is refused.
+type Problem struct {
+	// Path is the JSON path of the value at fault.
+	Path string `json:"path"`
+	// Reason says what is wrong with it.
+	Reason string `json:"reason"`
+}
+
+// String returns the problem on one line.
+func (p Problem) String() string { return p.Path + ": " + p.Reason }
+
+// Validate returns every problem of d, sorted by path. The document is
+// accepted when there is none.
+func (d Document) Validate() []Problem {
+	v := &validator{doc: d.WithDefaults()}
+	v.checkModels()
+	v.checkWorkspaces()
+	v.checkRates()
+	v.checkRoutes()
+	v.checkObjectives()
+	v.checkZones()
+	sort.Slice(v.problems, func(i, j int) bool { return v.problems[i].String() < v.problems[j].String() })
+	return v.problems
+}
+
+type validator struct {
+	doc      Document
+	problems []Problem
+}
+
+func (v *validator) addf(path, format string, args ...any) {
+	v.problems = append(v.problems, Problem{Path: path, Reason: fmt.Sprintf(format, args...)})
+}
+
+func (v *validator) checkModels() {
+	for name, m := range v.doc.Models {
+		path := "models." + name
+		if m.ServingVersion == "" {
+			v.addf(path+".serving_version", "is required")
+		}
+		if m.BlockTokens < 1 {
+			v.addf(path+".block_tokens", "must be at least 1")
+		}
+		if m.MaxConcurrentLoads < 1 {
+			v.addf(path+".max_concurrent_loads", "must be at least 1")
+		}
+		if m.PrefillTokensPerSecond <= 0 {
+			v.addf(path+".prefill_tokens_per_second", "must be positive")
+		}
+	}
+}
+
+func (v *validator) checkWorkspaces() {
+	owners := make(map[keys.Hash]string)
+	for name, w := range v.doc.Workspaces {
+		path := "workspaces." + name
+		if w.Weight <= 0 {
+			v.addf(path+".weight", "must be positive")
+		}
+		if !oneOf(w.OnUnconfirmedKeys, UnconfirmedServe, UnconfirmedRefuse) {
+			v.addf(path+".on_unconfirmed_keys", "is %q, want %q or %q", w.OnUnconfirmedKeys, UnconfirmedServe, UnconfirmedRefuse)
+		}
+		for i, k := range w.Keys {
+			v.checkKey(fmt.Sprintf("%s.keys[%d]", path, i), name, k, owners)
+		}
+	}
+}
+
+func (v *validator) checkKey(path, workspace string, k Key, owners map[keys.Hash]string) {
+	if k.ID == "" {
+		v.addf(path+".id", "is required")
+	}
+	h, err := keys.ParseHash(k.SHA256)
+	if err != nil {
+		v.addf(path+".sha256", "%v", err)
+		return
+	}
+	if other, taken := owners[h]; taken {
+		v.addf(path+".sha256", "the same key is listed for workspaces %q and %q", min(workspace, other), max(workspace, other))
+		return
+	}
+	owners[h] = workspace
+}
+
+func (v *validator) checkRates() {
+	for name, r := range v.doc.Rates {
+		path := "rates." + name
+		if _, ok := v.doc.Workspaces[name]; !ok {
+			v.addf(path, "workspace %q does not exist", name)
+		}
+		if r.RateTokensPerSecond <= 0 {
+			v.addf(path+".rate_tokens_per_second", "must be positive")
+		}
+		if r.BurstTokens <= 0 {
+			v.addf(path+".burst_tokens", "must be positive")
+		}
+		if r.FloorFraction < 0 || r.FloorFraction > 1 {
+			v.addf(path+".floor_fraction", "must be between 0 and 1")
+		}
+	}
+	for name := range v.doc.Workspaces {
+		if _, ok := v.doc.Rates[name]; !ok {
+			v.addf("rates", "workspace %q has no rate", name)
+		}
+	}
+}
+
+func (v *validator) checkRoutes() {
+	models := make(map[string]string)
+	prefixes := make(map[string]string)
+	for name, r := range v.doc.Routes {
+		path := "routes." + name
+		v.checkRouteFields(path, r)
+		switch r.Kind {
+		case KindModel:
+			v.checkModelRoute(path, name, r, models)
+		case KindService:
+			v.checkServiceRoute(path, name, r, prefixes)
+		default:
+			v.addf(path+".kind", "is %q, want %q or %q", r.Kind, KindModel, KindService)
+		}
+	}
+}
+
+func (v *validator) checkRouteFields(path string, r Route) {
+	if !oneOf(r.Access, AccessKeyed, AccessOpen) {
+		v.addf(path+".access", "is %q, want %q or %q", r.Access, AccessKeyed, AccessOpen)
+	}
+	if !oneOf(r.Run, RunIdempotent, RunAtMostOnce) {
+		v.addf(path+".run", "is %q, want %q or %q", r.Run, RunIdempotent, RunAtMostOnce)
+	}
+	if !oneOf(r.Class, ClassInteractive, ClassCatalogue) {
+		v.addf(path+".class", "is %q, want %q or %q", r.Class, ClassInteractive, ClassCatalogue)
+	}
+	if r.TimeoutMS < 1 {
+		v.addf(path+".timeout_ms", "must be positive")
+	}
+	if r.FirstTokenTimeoutMS < 1 {
+		v.addf(path+".first_token_timeout_ms", "must be positive")
+	}
+	if r.TokenGapTimeoutMS < 1 {
+		v.addf(path+".token_gap_timeout_ms", "must be positive")
+	}
+	if r.HedgeAfterMS > 0 && r.Run == RunAtMostOnce {
+		v.addf(path+".hedge_after_ms", "an at-most-once route cannot be hedged")
+	}
+	for i, w := range r.Workspaces {
+		if _, ok := v.doc.Workspaces[w]; !ok {
+			v.addf(fmt.Sprintf("%s.workspaces[%d]", path, i), "workspace %q does not exist", w)
+		}
+	}
+	if r.Access == AccessOpen && len(r.Workspaces) > 0 {
+		v.addf(path+".workspaces", "an open route cannot be limited to workspaces")
+	}
+}
+
+func (v *validator) checkModelRoute(path, name string, r Route, models map[string]string) {
+	if _, ok := v.doc.Models[r.Model]; !ok {
+		v.addf(path+".model", "model %q does not exist", r.Model)
+	}
+	if r.Access == AccessOpen {
+		v.addf(path+".access", "a model route must be keyed because its tokens are billed")
+	}
+	if other, taken := models[r.Model]; taken {
+		v.addf(path+".model", "routes %q and %q serve the same model", min(name, other), max(name, other))
+	}
+	models[r.Model] = name
+}
+
+func (v *validator) checkServiceRoute(path, name string, r Route, prefixes map[string]string) {
+	if r.Service == "" {
+		v.addf(path+".service", "is required")
+	}
+	if len(r.PathPrefix) < 2 || r.PathPrefix[0] != '/' {
+		v.addf(path+".path_prefix", "must start with / and name at least one segment")
+	}
+	if other, taken := prefixes[r.PathPrefix]; taken {
+		v.addf(path+".path_prefix", "routes %q and %q have the same prefix", min(name, other), max(name, other))
+	}
+	prefixes[r.PathPrefix] = name
+}
+
+func (v *validator) checkObjectives() {
+	for name, o := range v.doc.Objectives {
+		path := "objectives." + name
+		if _, ok := v.doc.Routes[o.Route]; !ok {
+			v.addf(path+".route", "route %q does not exist", o.Route)
+		}
+		if o.Target <= 0 || o.Target >= 1 {
+			v.addf(path+".target", "must be between 0 and 1, exclusive")
+		}
+		if !oneOf(o.Kind, "first_token", "token_gap", "in_rate_refusals", "complete_answers") {
+			v.addf(path+".kind", "is %q", o.Kind)
+		}
+	}
+}
+
+func (v *validator) checkZones() {
+	for name, z := range v.doc.Zones {
+		path := "zones." + name
+		if z.Region == "" {
+			v.addf(path+".region", "is required")
+		}
+		if z.VMSlots < 1 {
+			v.addf(path+".vm_slots", "must be at least 1")
+		}
+	}
+}
+
+func oneOf(s string, allowed ...string) bool {
+	for _, a := range allowed {
+		if s == a {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/daemon/passthrough.go
@@ -0,0 +1,53 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/cuminwing/cuminwing/internal/config"
+	"github.com/cuminwing/cuminwing/internal/control"
+	"github.com/cuminwing/cuminwing/internal/serving"
+)
+
+// The types in this file stand where a duty is not wired yet.
+
+type unlimited struct{}
+
+func (unlimited) Admit(context.Context, *config.Snapshot, string, int64, time.Duration) (serving.Reservation, *serving.Refusal) {
+	return unlimited{}, nil
+}
+
+func (unlimited) Settle(int64) {}
+
+type unordered struct{}
+
+func (unordered) Acquire(context.Context, serving.QueueRequest) (func(int, int), *serving.Refusal) {
+	return func(int, int) {}, nil
+}
+
+// noClaims refuses every at-most-once request, which is true to its promise.
+type noClaims struct{}
+
+func (noClaims) Claim(context.Context, serving.Claim) (serving.ClaimStatus, serving.StoredAnswer) {
+	return serving.ClaimUnreachable, serving.StoredAnswer{}
+}
+
+func (noClaims) Complete(context.Context, serving.Claim, serving.StoredAnswer) error {
+	return control.ErrNotCommitted
+}
+
+func (noClaims) Release(context.Context, serving.Claim) error { return control.ErrNotCommitted }
+
+type alwaysRetry struct{}
+
+func (alwaysRetry) Allow(string, string) bool { return true }
+
+func (alwaysRetry) Finished(string, string) {}
+
+type discardLedger struct{}
+
+func (discardLedger) Record(serving.UsageRecord) {}
+
+type discardObserver struct{}
+
+func (discardObserver) Observe(serving.Sample) {}
--- /dev/null
+++ b/internal/daemon/peers.go
@@ -0,0 +1,30 @@
+package daemon
+
+import (
+	"net/http"
+	"time"
+)
+
+// Limits of connections between VMs.
+const (
+	peerDialTimeout       = time.Second
+	peerIdleTimeout       = time.Minute
+	peerReadHeaderTimeout = 5 * time.Second
+	maxIdlePeerConns      = 8
+)
+
+// startPeers serves other VMs and operators' tools. Duties register their
+// handlers on peerMux and adminMux before or after this step.
+func (n *Node) startPeers() error {
+	n.peerClient = &http.Client{Transport: &http.Transport{
+		DialContext:         n.options.Dial,
+		IdleConnTimeout:     peerIdleTimeout,
+		MaxIdleConnsPerHost: maxIdlePeerConns,
+	}}
+	peer := &http.Server{Handler: n.peerMux, ReadHeaderTimeout: peerReadHeaderTimeout}
+	if err := n.listen(n.settings.PeerAddress, peer); err != nil {
+		return err
+	}
+	admin := &http.Server{Handler: n.adminMux, ReadHeaderTimeout: peerReadHeaderTimeout}
+	return n.listen(n.settings.AdminAddress, admin)
+}
--- /dev/null
+++ b/internal/daemon/targets.go
@@ -0,0 +1,38 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cuminwing/cuminwing/internal/adapter/targethttp"
+	"github.com/cuminwing/cuminwing/internal/target"
+)
+
+const (
+	// forgetTargetAfter is how long a silent target stays listed.
+	forgetTargetAfter = time.Minute
+	expireInterval    = 500 * time.Millisecond
+)
+
+// startTargets receives announcements of targets.
+func (n *Node) startTargets() error {
+	server := &http.Server{
+		Handler:           targethttp.AnnounceHandler(n.acceptAnnouncement),
+		ReadHeaderTimeout: peerReadHeaderTimeout,
+	}
+	n.duty(func(ctx context.Context) {
+		every(ctx, expireInterval, func() { n.registry.Expire(n.clock(), forgetTargetAfter) })
+	})
+	return n.listen(n.settings.TargetAddress, server)
+}
+
+func (n *Node) acceptAnnouncement(a target.Announcement) {
+	change := n.registry.Announce(a, n.clock())
+	switch change {
+	case target.Joined, target.Replaced, target.Left:
+		n.logger.Info("target changed", zap.String("target", a.ID), zap.Uint64("incarnation", a.Incarnation), zap.Int("change", int(change)))
+	}
+}
--- /dev/null
+++ b/internal/keys/withdrawn.go
@@ -0,0 +1,104 @@
+package keys
+
+import (
+	"context"
+	"encoding/binary"
+	"sync"
+)
+
+// Withdrawn is a set of withdrawn keys that only grows. It is safe for
+// concurrent use.
+type Withdrawn struct {
+	mu       sync.RWMutex
+	set      map[Hash]struct{}
+	digest   uint64
+	watchers map[Hash]map[*watcher]struct{}
+}
+
+type watcher struct{ cancel context.CancelFunc }
+
+// NewWithdrawn returns an empty set.
+func NewWithdrawn() *Withdrawn {
+	return &Withdrawn{
+		set:      make(map[Hash]struct{}),
+		watchers: make(map[Hash]map[*watcher]struct{}),
+	}
+}
+
+// Add withdraws keys, ends the contexts that watch them and returns those
+// that were new.
+func (w *Withdrawn) Add(hashes ...Hash) []Hash {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var added []Hash
+	for _, h := range hashes {
+		if _, known := w.set[h]; known {
+			continue
+		}
+		w.set[h] = struct{}{}
+		w.digest ^= binary.LittleEndian.Uint64(h[:8])
+		added = append(added, h)
+		for watcher := range w.watchers[h] {
+			watcher.cancel()
+		}
+		delete(w.watchers, h)
+	}
+	return added
+}
+
+// Contains reports whether the key is withdrawn.
+func (w *Withdrawn) Contains(h Hash) bool {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	_, ok := w.set[h]
+	return ok
+}
+
+// Digest identifies the content of the set: sets with the same content have
+// the same digest.
+func (w *Withdrawn) Digest() uint64 {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	return w.digest
+}
+
+// All returns the withdrawn keys in no particular order.
+func (w *Withdrawn) All() []Hash {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	out := make([]Hash, 0, len(w.set))
+	for h := range w.set {
+		out = append(out, h)
+	}
+	return out
+}
+
+// Watch returns a context that ends when the key is withdrawn. Cancel must be
+// called to release it.
+func (w *Withdrawn) Watch(ctx context.Context, h Hash) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	entry := &watcher{cancel: cancel}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if _, withdrawn := w.set[h]; withdrawn {
+		cancel()
+		return ctx, cancel
+	}
+	if w.watchers[h] == nil {
+		w.watchers[h] = make(map[*watcher]struct{})
+	}
+	w.watchers[h][entry] = struct{}{}
+	return ctx, func() {
+		cancel()
+		w.unwatch(h, entry)
+	}
+}
+
+func (w *Withdrawn) unwatch(h Hash, entry *watcher) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.watchers[h], entry)
+	if len(w.watchers[h]) == 0 {
+		delete(w.watchers, h)
+	}
+}
--- /dev/null
+++ b/internal/serving/ports.go
@@ -0,0 +1,329 @@
+// Package serving runs the life cycle of one request: admission by rate,
+// queueing, the at-most-once claim, choice of target, streaming with resume,
+// billing and observation. It reaches everything else through the ports in
+// this file, so that it does no I/O of its own.
+package serving
+
+import (
+	"context"
+	"time"
+
+	"github.com/cuminwing/cuminwing/internal/config"
+	"github.com/cuminwing/cuminwing/internal/keys"
+	"github.com/cuminwing/cuminwing/internal/target"
+)
+
+// Call is one request of a caller to a model, decoded and authenticated.
+type Call struct {
+	// ID is unique over the service.
+	ID string
+	// Workspace owns the key that came with the request.
+	Workspace string
+	// KeyHash is the hash of that key.
+	KeyHash keys.Hash
+	// RouteName and Route are the route in Snapshot.
+	RouteName string
+	Route     config.Route
+	// Snapshot is the configuration that the whole request uses.
+	Snapshot *config.Snapshot
+	// Path is the path at the engine, for example /v1/chat/completions.
+	Path string
+	// Body is the request body as sent to the engine.
+	Body []byte
+	// Model, Version and Adapter name what must answer.
+	Model   string
+	Version string
+	Adapter string
+	// Prompt is the text whose prefixes are cached.
+	Prompt string
+	// PromptTokens is the estimated length of the prompt.
+	PromptTokens int
+	// MaxTokens bounds the answer.
+	MaxTokens int
+	// IdempotencyKey is the caller's key for resends; may be empty.
+	IdempotencyKey string
+	// Received is when the request arrived.
+	Received time.Time
+	// Deadline is when the request must be finished.
+	Deadline time.Time
+}
+
+// RunState says whether a request ran at a target.
+type RunState string
+
+// The run states. NotRun is stated only if no target can have begun the
+// request.
+const (
+	NotRun     RunState = "not-run"
+	RunUnknown RunState = "unknown"
+	Ran        RunState = "ran"
+)
+
+// Refusal is the outcome of a request that gets no whole answer.
+type Refusal struct {
+	// Status is the HTTP status code.
+	Status int
+	// Code is the machine-readable reason, in the OpenAI error shape.
+	Code string
+	// Message is the human-readable reason.
+	Message string
+	// Run says whether the request ran.
+	Run RunState
+	// RetryAfter is when a resend makes sense; zero if unknown.
+	RetryAfter time.Duration
+}
+
+// Error returns the code and the message.
+func (r *Refusal) Error() string { return r.Code + ": " + r.Message }
+
+// Reservation holds tokens charged at admission.
+type Reservation interface {
+	// Settle replaces the estimate by the actual count and returns the
+	// difference to the workspace. Only the first call counts.
+	Settle(actualTokens int64)
+}
+
+// Limiter admits requests by the fleet-wide token rate of their workspace.
+type Limiter interface {
+	// Admit charges tokens, waiting up to maxWait for them.
+	Admit(ctx context.Context, snap *config.Snapshot, workspace string, tokens int64, maxWait time.Duration) (Reservation, *Refusal)
+}
+
+// QueueRequest describes the work that waits for a group of targets.
+type QueueRequest struct {
+	// Group is the model or service.
+	Group string
+	// Workspace, Weight and Class decide the order.
+	Workspace string
+	Weight    float64
+	Class     string
+	// PrefillTokens and DecodeTokens are the expected work.
+	PrefillTokens int
+	DecodeTokens  int
+	// Capacity is how many requests the group runs at once.
+	Capacity int
+	// Deadline refuses the request early if it cannot be met.
+	Deadline time.Time
+}
+
+// Queue orders requests by weighted fair queueing.
+type Queue interface {
+	// Acquire waits for a turn. The release function must be called once,
+	// with the work that was really done.
+	Acquire(ctx context.Context, req QueueRequest) (release func(prefillTokens, decodeTokens int), refusal *Refusal)
+}
+
+// Claim identifies one at-most-once request.
+type Claim struct {
+	// Workspace and Key name the record.
+	Workspace string
+	Key       string
+	// BodyHash guards against reuse of the key for another request.
+	BodyHash [32]byte
+	// RequestID is the request that claims.
+	RequestID string
+	// Retention is how long the record is kept.
+	Retention time.Duration
+}
+
+// ClaimStatus is the answer to a claim.
+type ClaimStatus int
+
+// The answers to a claim.
+const (
+	// ClaimGranted lets this request run, once, at one target.
+	ClaimGranted ClaimStatus = iota
+	// ClaimDone means that the outcome is known and stored.
+	ClaimDone
+	// ClaimPending means that another request holds the claim and its outcome
+	// is unknown.
+	ClaimPending
+	// ClaimMismatch means that the key was used with another body.
+	ClaimMismatch
+	// ClaimUnreachable means that the record could not be reached and the
+	// claim is certain not to exist.
+	ClaimUnreachable
+	// ClaimUncertain means that the claim may or may not have been committed.
+	ClaimUncertain
+)
+
+// StoredAnswer is the outcome of an at-most-once request.
+type StoredAnswer struct {
+	// Status is the HTTP status code.
+	Status int
+	// ContentType is the media type of the body.
+	ContentType string
+	// Body is the answer; empty if it was too large to store.
+	Body []byte
+	// Truncated is true if the body was too large to store.
+	Truncated bool
+}
+
+// Claims records at-most-once requests where every VM sees them.
+type Claims interface {
+	// Claim records the intent to run.
+	Claim(ctx context.Context, c Claim) (ClaimStatus, StoredAnswer)
+	// Complete stores the outcome.
+	Complete(ctx context.Context, c Claim, answer StoredAnswer) error
+	// Release withdraws a granted claim when no byte can have reached a
+	// target.
+	Release(ctx context.Context, c Claim) error
+}
+
+// PickRequest asks for a target.
+type PickRequest struct {
+	// Call is the request to place.
+	Call *Call
+	// Attempt counts from 0.
+	Attempt int
+	// Exclude lists incarnations that already failed this request.
+	Exclude []target.Ref
+}
+
+// Pick is the chosen target.
+type Pick struct {
+	// Target is where the request goes.
+	Target *target.Target
+	// ExpectedCachedTokens is the part of the prompt that the target is
+	// expected to hold.
+	ExpectedCachedTokens int
+	// Done must be called once with the result of the attempt.
+	Done func(AttemptResult)
+}
+
+// AttemptResult is what one attempt at a target came to.
+type AttemptResult struct {
+	// Err is nil if the attempt finished its part.
+	Err error
+	// FirstToken is the time from dispatch to the first token; zero if none.
+	FirstToken time.Duration
+	// CachedTokens is what the target reported as reused.
+	CachedTokens int
+	// DeliveredTokens is how many tokens of the answer came from it.
+	DeliveredTokens int
+}
+
+// Picker chooses targets.
+type Picker interface {
+	// Pick returns a target, or a refusal if there is none.
+	Pick(ctx context.Context, req PickRequest) (*Pick, *Refusal)
+}
+
+// RetryPolicy decides about further attempts.
+type RetryPolicy interface {
+	// Allow takes one extra attempt from the budgets of the workspace and
+	// the target group. It reports false if they are spent.
+	Allow(workspace, group string) bool
+	// Finished counts one finished request, which refills the budgets.
+	Finished(workspace, group string)
+}
+
+// EngineRequest is one attempt at an engine.
+type EngineRequest struct {
+	// Call is the request.
+	Call *Call
+	// Priority is passed on: lower runs first.
+	Priority int
+	// ResumeOffset is the number of tokens already delivered.
+	ResumeOffset int
+	// ResumeText is the text of those tokens.
+	ResumeText string
+}
+
+// Chunk is one event of an engine's stream.
+type Chunk struct {
+	// RequestID and Incarnation are as stated by the engine.
+	RequestID   string
+	Incarnation uint64
+	// Offset is the index of the first token in Data, Tokens their count.
+	Offset int
+	Tokens int
+	// CachedTokens is the reused part of the prompt, on the first chunk.
+	CachedTokens int
+	// Data is the JSON event for the caller.
+	Data []byte
+	// Text is the generated text in Data.
+	Text string
+	// Finish is true on the event that ends the answer.
+	Finish bool
+	// Done is true for the end-of-stream marker.
+	Done bool
+}
+
+// ChunkStream is an open stream of an engine.
+type ChunkStream interface {
+	// Next waits for the next chunk, no longer than limit.
+	Next(limit time.Duration) (Chunk, error)
+	// Close ends the stream; if it was not finished, the engine's work is
+	// cancelled and the connection is not reused.
+	Close()
+}
+
+// Engines opens streams at engines.
+type Engines interface {
+	// Open dispatches one attempt.
+	Open(ctx context.Context, t *target.Target, req EngineRequest) (ChunkStream, error)
+}
+
+// DialError is returned by Engines.Open if no byte of the request can have
+// left this VM.
+type DialError struct{ Err error }
+
+// Error returns the cause.
+func (e *DialError) Error() string { return "no connection to target: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *DialError) Unwrap() error { return e.Err }
+
+// UsageRecord bills one request.
+type UsageRecord struct {
+	// Workspace is billed.
+	Workspace string
+	// Model answered.
+	Model string
+	// PromptTokens and CompletionTokens are billed.
+	PromptTokens     int
+	CompletionTokens int
+	// WastedTokens is work done but not billed.
+	WastedTokens int
+}
+
+// Ledger takes usage records. Record must not block.
+type Ledger interface {
+	Record(u UsageRecord)
+}
+
+// Sample is the observation of one finished request.
+type Sample struct {
+	// Route and Workspace name the series.
+	Route     string
+	Workspace string
+	// FirstToken is the time from arrival to the first token; zero if none.
+	FirstToken time.Duration
+	// MaxTokenGap is the longest time between tokens.
+	MaxTokenGap time.Duration
+	// Complete is true if the caller got the whole answer.
+	Complete bool
+	// Refusal is the refusal code, empty if there was none.
+	Refusal string
+	// Cause names what dominated a slow first token: "queue", "prefill" or
+	// "retry".
+	Cause string
+	// Attempts is the number of attempts.
+	Attempts int
+	// PromptTokens, CachedTokens and WastedTokens feed the prefix measures.
+	PromptTokens int
+	CachedTokens int
+	WastedTokens int
+}
+
+// Observer takes samples. Observe must not block.
+type Observer interface {
+	Observe(s Sample)
+}
+
+// Sink takes the answer on the caller's side.
+type Sink interface {
+	// Chunk passes one event on. An error means that the caller is gone.
+	Chunk(c Chunk) error
+}
--- /dev/null
+++ b/internal/standin/engine.go
@@ -0,0 +1,253 @@
+// Package standin has small stand-ins for the systems outside cuminwing: a
+// model engine and a plain service. They let the demo, the load tool and the
+// tests run with nothing else installed.
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cuminwing/cuminwing/internal/adapter/targethttp"
+	"github.com/cuminwing/cuminwing/internal/target"
+)
+
+// EngineOptions describe one stand-in engine.
+type EngineOptions struct {
+	// ID, Zone, Region, Model and Version are announced.
+	ID, Zone, Region, Model, Version string
+	// Announce is the base URL of the target listener of a VM.
+	Announce []string
+	// TokenInterval is the time between tokens.
+	TokenInterval time.Duration
+	// BatchSlots is the number of concurrent requests.
+	BatchSlots int
+}
+
+// Engine is a stand-in model engine. Its answers are a function of the
+// request, so that every engine of a version continues a stream in the same
+// way.
+type Engine struct {
+	options     EngineOptions
+	incarnation uint64
+	sequence    atomic.Uint64
+	running     atomic.Int64
+	listener    net.Listener
+	server      *http.Server
+	stop        context.CancelFunc
+	done        sync.WaitGroup
+	leaving     atomic.Bool
+}
+
+// StartEngine listens on address and announces the engine until it is closed.
+func StartEngine(address string, options EngineOptions) (*Engine, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &Engine{
+		options:     options,
+		incarnation: uint64(time.Now().UnixMicro()),
+		listener:    listener,
+		stop:        cancel,
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", e.complete)
+	mux.HandleFunc("POST /v1/completions", e.complete)
+	e.server = &http.Server{Handler: mux}
+	e.done.Go(func() { _ = e.server.Serve(listener) })
+	e.done.Go(func() { e.announceLoop(ctx) })
+	return e, nil
+}
+
+// URL returns the base URL of the engine.
+func (e *Engine) URL() string { return "http://" + e.listener.Addr().String() }
+
+// Leave announces that the engine wants no new work.
+func (e *Engine) Leave() { e.leaving.Store(true) }
+
+// Close stops the engine at once, cutting its streams.
+func (e *Engine) Close() {
+	e.stop()
+	_ = e.server.Close()
+	e.done.Wait()
+}
+
+func (e *Engine) announceLoop(ctx context.Context) {
+	ticker := time.NewTicker(target.HeartbeatInterval)
+	defer ticker.Stop()
+	client := &http.Client{Timeout: target.HeartbeatInterval}
+	for {
+		for _, base := range e.options.Announce {
+			if sendAnnouncement(ctx, client, base, e.announcement()) == nil {
+				break
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (e *Engine) announcement() target.Announcement {
+	o := e.options
+	return target.Announcement{
+		ID:           o.ID,
+		Incarnation:  e.incarnation,
+		Sequence:     e.sequence.Add(1),
+		Kind:         target.KindEngine,
+		Zone:         o.Zone,
+		Region:       o.Region,
+		URL:          e.URL(),
+		Model:        o.Model,
+		Version:      o.Version,
+		Role:         "mixed",
+		BatchSlots:   o.BatchSlots,
+		Capabilities: target.Capabilities{Resume: true, Priority: true},
+		Load:         target.Load{Running: int(e.running.Load())},
+		Leaving:      e.leaving.Load(),
+	}
+}
+
+type engineRequest struct {
+	MaxTokens           int                `json:"max_tokens"`
+	MaxCompletionTokens int                `json:"max_completion_tokens"`
+	Messages            json.RawMessage    `json:"messages"`
+	Prompt              json.RawMessage    `json:"prompt"`
+	Resume              *targethttp.Resume `json:"resume"`
+}
+
+const defaultAnswerTokens = 32
+
+func (r *engineRequest) tokens() int {
+	if r.MaxCompletionTokens > 0 {
+		return r.MaxCompletionTokens
+	}
+	if r.MaxTokens > 0 {
+		return r.MaxTokens
+	}
+	return defaultAnswerTokens
+}
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	e.running.Add(1)
+	defer e.running.Add(-1)
+	var req engineRequest
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	start := 0
+	if req.Resume != nil {
+		start = req.Resume.Offset
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	out := eventWriter{
+		w:           w,
+		flusher:     http.NewResponseController(w),
+		requestID:   r.Header.Get(targethttp.HeaderRequestID),
+		incarnation: e.incarnation,
+		chat:        r.URL.Path == "/v1/chat/completions",
+		model:       e.options.Model,
+	}
+	seed := promptSeed(req)
+	total := req.tokens()
+	for i := start; i < total; i++ {
+		if out.token(i, Word(seed, i)) != nil || !sleep(r.Context(), e.options.TokenInterval) {
+			return
+		}
+	}
+	out.finish(total)
+}
+
+func promptSeed(req engineRequest) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write(req.Messages)
+	_, _ = h.Write(req.Prompt)
+	return h.Sum64()
+}
+
+// Word returns token number i of the answer to the prompt with the given seed.
+func Word(seed uint64, i int) string {
+	return "w" + strconv.FormatUint((seed+uint64(i)*2654435761)%9973, 10) + " "
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+type eventWriter struct {
+	w           http.ResponseWriter
+	flusher     *http.ResponseController
+	requestID   string
+	incarnation uint64
+	chat        bool
+	model       string
+}
+
+func (o *eventWriter) token(offset int, text string) error {
+	return o.event(offset, 1, text, nil)
+}
+
+func (o *eventWriter) finish(offset int) {
+	reason := "stop"
+	if o.event(offset, 0, "", &reason) != nil {
+		return
+	}
+	_, _ = fmt.Fprint(o.w, "data: [DONE]\n\n")
+	_ = o.flusher.Flush()
+}
+
+func (o *eventWriter) event(offset, tokens int, text string, reason *string) error {
+	type delta struct {
+		Content string `json:"content"`
+	}
+	type choice struct {
+		Index        int     `json:"index"`
+		Text         *string `json:"text,omitempty"`
+		Delta        *delta  `json:"delta,omitempty"`
+		FinishReason *string `json:"finish_reason"`
+	}
+	event := struct {
+		ID      string   `json:"id"`
+		Object  string   `json:"object"`
+		Created int64    `json:"created"`
+		Model   string   `json:"model"`
+		Choices []choice `json:"choices"`
+	}{ID: "chatcmpl-" + o.requestID, Object: "chat.completion.chunk", Created: 1, Model: o.model}
+	c := choice{FinishReason: reason}
+	if o.chat {
+		c.Delta = &delta{Content: text}
+	} else {
+		event.Object = "text_completion"
+		c.Text = &text
+	}
+	event.Choices = []choice{c}
+	data, err := json.Marshal(event)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(o.w, "id: %s;%d;%d;%d\ndata: %s\n\n", o.requestID, o.incarnation, offset, tokens, data)
+	if err != nil {
+		return err
+	}
+	return o.flusher.Flush()
+}
