--- /dev/null
+++ b/internal/adapter/replica/cluster_test.go
@@ -0,0 +1,179 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"github.com/cuminwing/cuminwing/internal/control"
+	"github.com/cuminwing/cuminwing/internal/raft"
+	raftv1 "github.com/cuminwing/cuminwing/proto/raft/v1"
+)
+
+// register is a state machine with one value. A command of one byte replaces
+// it by that byte; every answer is the value before and the position.
+type register struct {
+	mu      sync.Mutex
+	value   byte
+	history []byte
+}
+
+func (r *register) Apply(index uint64, _ time.Time, body []byte) []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	answer := protowire.AppendVarint([]byte{r.value}, index)
+	if len(body) > 0 {
+		r.value = body[0]
+		r.history = append(r.history, r.value)
+	}
+	return answer
+}
+
+func (r *register) Snapshot() ([]byte, error) { return append([]byte{r.value}, r.history...), nil }
+
+func (r *register) Restore(data []byte) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.value, r.history = data[0], append([]byte(nil), data[1:]...)
+	return nil
+}
+
+// vm is one VM of a test: a listener that stays, and a replica that may be
+// restarted on the same folder.
+type vm struct {
+	name    string
+	spare   bool
+	folder  string
+	address string
+	mux     *http.ServeMux
+	server  *http.Server
+	replica *Replica
+	log     *Log
+	state   *register
+	cancel  context.CancelFunc
+	duties  sync.WaitGroup
+}
+
+type cluster struct {
+	tb      testing.TB
+	members raft.Membership
+	vms     []*vm
+	client  *http.Client
+}
+
+func newCluster(tb testing.TB, size int) *cluster {
+	c := &cluster{tb: tb, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	addresses := make(map[string]string)
+	var listeners []net.Listener
+	for i := range size {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			tb.Fatal(err)
+		}
+		listeners = append(listeners, l)
+		v := &vm{name: fmt.Sprintf("vm-%d", i), folder: tb.TempDir(), address: l.Addr().String()}
+		addresses[v.name] = v.address
+		c.vms = append(c.vms, v)
+	}
+	c.members = raft.NewVoters(addresses)
+	for i, v := range c.vms {
+		c.start(v, listeners[i])
+	}
+	tb.Cleanup(func() {
+		for _, v := range c.vms {
+			v.stop()
+		}
+		c.client.CloseIdleConnections()
+	})
+	return c
+}
+
+func url(address string) string { return "http://" + address }
+
+func (c *cluster) start(v *vm, l net.Listener) {
+	ctx, cancel := context.WithCancel(context.Background())
+	v.cancel = cancel
+	v.state = &register{}
+	start := func(f func(context.Context)) { v.duties.Go(func() { f(ctx) }) }
+	bootstrap := c.members
+	if v.spare {
+		bootstrap = nil
+	}
+	r, err := Open(Config{
+		ID: v.name, Folder: v.folder, Bootstrap: bootstrap,
+		Parts:     map[control.Kind]control.Part{control.KindClaims: v.state},
+		Transport: &Peers{Self: v.address, URL: url, Client: c.client, Start: start},
+		Clock:     time.Now,
+	})
+	if err != nil {
+		c.tb.Fatal(err)
+	}
+	v.replica = r
+	v.log = &Log{Replica: r, Voters: c.members, URL: url, Client: c.client}
+	v.mux = http.NewServeMux()
+	step := raftv1.NewRaftServiceServer(Server{r})
+	v.mux.Handle(step.PathPrefix(), step)
+	calls := raftv1.NewLogServiceServer(Server{r})
+	v.mux.Handle(calls.PathPrefix(), calls)
+	v.server = &http.Server{Handler: v.mux}
+	v.duties.Go(func() { _ = v.server.Serve(l) })
+	start(r.Run)
+}
+
+// stop ends a VM at once, as a crash would.
+func (v *vm) stop() {
+	v.cancel()
+	_ = v.server.Close()
+	v.duties.Wait()
+}
+
+func (c *cluster) restart(v *vm) {
+	l, err := net.Listen("tcp", v.address)
+	if err != nil {
+		c.tb.Fatal(err)
+	}
+	c.start(v, l)
+}
+
+// leader waits until one of the VMs holds the lease.
+func (c *cluster) leader(vms ...*vm) *vm {
+	deadline := time.Now().Add(20 * time.Second)
+	for time.Now().Before(deadline) {
+		for _, v := range vms {
+			if v.replica.HoldsLease() {
+				return v
+			}
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	c.tb.Fatal("no VM holds the lease")
+	return nil
+}
+
+func (c *cluster) others(v *vm) []*vm {
+	var out []*vm
+	for _, other := range c.vms {
+		if other != v {
+			out = append(out, other)
+		}
+	}
+	return out
+}
+
+// add starts a VM that is not a voter yet.
+func (c *cluster) add(name string) *vm {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		c.tb.Fatal(err)
+	}
+	v := &vm{name: name, folder: c.tb.TempDir(), address: l.Addr().String(), spare: true}
+	c.vms = append(c.vms, v)
+	c.start(v, l)
+	return v
+}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cuminwing/cuminwing/internal/adapter/callerhttp"
+	"github.com/cuminwing/cuminwing/internal/adapter/replica"
 	"github.com/cuminwing/cuminwing/internal/adapter/targethttp"
 	"github.com/cuminwing/cuminwing/internal/config"
 	"github.com/cuminwing/cuminwing/internal/control"
@@ -58,6 +59,8 @@
 	// startControl runs. log is nil on a VM that cannot reach any voter yet.
 	parts map[control.Kind]control.Part
 	log   control.Log
+	// replica is nil on a VM without a disk.
+	replica *replica.Replica
 
 	// peerMux serves other VMs, adminMux serves operators' tools.
 	peerMux    *http.ServeMux
@@ -77,6 +80,7 @@
 	steps := []func() error{
 		n.startTargets,
 		n.startServing,
+		n.startControl,
 		n.startStatus,
 		n.startPeers,
 		n.startCallers,
@@ -116,6 +120,11 @@
 		ctx:         ctx,
 		cancel:      cancel,
 	}
+	n.peerClient = &http.Client{Transport: &http.Transport{
+		DialContext:         options.Dial,
+		IdleConnTimeout:     peerIdleTimeout,
+		MaxIdleConnsPerHost: maxIdlePeerConns,
+	}}
 	if options.Document != nil {
 		n.snapshot.Store(config.NewSnapshot(*options.Document, 1))
 	}
@@ -200,6 +209,7 @@
 	n.draining.Store(true)
 	n.logger.Info("VM is shutting down", zap.Int64("running_requests", n.callers.Active()))
 	err := n.waitIdle(ctx)
+	n.leaveControl()
 	n.Close()
 	return err
 }
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -16,11 +16,6 @@
 // startPeers serves other VMs and operators' tools. Duties register their
 // handlers on peerMux and adminMux before or after this step.
 func (n *Node) startPeers() error {
-	n.peerClient = &http.Client{Transport: &http.Transport{
-		DialContext:         n.options.Dial,
-		IdleConnTimeout:     peerIdleTimeout,
-		MaxIdleConnsPerHost: maxIdlePeerConns,
-	}}
 	peer := &http.Server{Handler: n.peerMux, ReadHeaderTimeout: peerReadHeaderTimeout}
 	if err := n.listen(n.settings.PeerAddress, peer); err != nil {
 		return err
--- /dev/null
+++ b/internal/raft/members.go
@@ -0,0 +1,187 @@
+package raft
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/encoding/protowire"
+)
+
+// MaxVoters is the largest number of voters.
+const MaxVoters = 7
+
+// Member is one replica of the log.
+type Member struct {
+	ID      string
+	Address string
+	// Voter is false for a learner, which receives entries but has no vote.
+	Voter bool
+}
+
+// Membership is the set of replicas, sorted by ID.
+type Membership []Member
+
+// NewVoters returns a membership of voters only.
+func NewVoters(addresses map[string]string) Membership {
+	var m Membership
+	for id, address := range addresses {
+		m = append(m, Member{ID: id, Address: address, Voter: true})
+	}
+	m.sort()
+	return m
+}
+
+func (m Membership) sort() {
+	slices.SortFunc(m, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
+}
+
+// Find returns the member with the given ID.
+func (m Membership) Find(id string) (Member, bool) {
+	i := slices.IndexFunc(m, func(x Member) bool { return x.ID == id })
+	if i < 0 {
+		return Member{}, false
+	}
+	return m[i], true
+}
+
+// Voter reports whether id has a vote.
+func (m Membership) Voter(id string) bool {
+	member, ok := m.Find(id)
+	return ok && member.Voter
+}
+
+// Voters returns the number of voters.
+func (m Membership) Voters() int {
+	count := 0
+	for _, member := range m {
+		if member.Voter {
+			count++
+		}
+	}
+	return count
+}
+
+// Quorum returns the size of a majority of the voters.
+func (m Membership) Quorum() int { return m.Voters()/2 + 1 }
+
+// Encode returns the stored form of m.
+func (m Membership) Encode() []byte {
+	var buf []byte
+	for _, member := range m {
+		buf = protowire.AppendString(buf, member.ID)
+		buf = protowire.AppendString(buf, member.Address)
+		buf = protowire.AppendVarint(buf, protowire.EncodeBool(member.Voter))
+	}
+	return buf
+}
+
+var errMembership = errors.New("raft: encoded membership is damaged")
+
+// DecodeMembership reads what Encode wrote.
+func DecodeMembership(data []byte) (Membership, error) {
+	var m Membership
+	for len(data) > 0 {
+		id, n := protowire.ConsumeString(data)
+		if n < 0 {
+			return nil, errMembership
+		}
+		data = data[n:]
+		address, n := protowire.ConsumeString(data)
+		if n < 0 {
+			return nil, errMembership
+		}
+		data = data[n:]
+		voter, n := protowire.ConsumeVarint(data)
+		if n < 0 {
+			return nil, errMembership
+		}
+		data = data[n:]
+		m = append(m, Member{id, address, protowire.DecodeBool(voter)})
+	}
+	return m, nil
+}
+
+// ChangeKind selects a membership change.
+type ChangeKind uint8
+
+// The membership changes. Each moves at most one voter.
+const (
+	AddLearner ChangeKind = iota + 1
+	Promote
+	Remove
+)
+
+// Change is one membership change.
+type Change struct {
+	Kind    ChangeKind
+	ID      string
+	Address string
+}
+
+// apply returns the membership after c.
+func (m Membership) apply(c Change) (Membership, error) {
+	next := slices.Clone(m)
+	i := slices.IndexFunc(next, func(x Member) bool { return x.ID == c.ID })
+	switch {
+	case c.Kind == AddLearner && i < 0 && c.ID != "" && c.Address != "":
+		next = append(next, Member{ID: c.ID, Address: c.Address})
+	case c.Kind == Promote && i >= 0 && !next[i].Voter && next.Voters() < MaxVoters:
+		next[i].Voter = true
+	case c.Kind == Remove && i >= 0:
+		next = slices.Delete(next, i, i+1)
+	default:
+		return nil, fmt.Errorf("%w: change %d of %q", ErrBadChange, c.Kind, c.ID)
+	}
+	next.sort()
+	return next, nil
+}
+
+// ProposeChange appends a membership change. It takes effect when appended.
+func (n *Node) ProposeChange(c Change) (index, term uint64, err error) {
+	if !n.accepts() {
+		return 0, 0, ErrNotLeader
+	}
+	// A change before the first commit of the term could overlap with one of
+	// an earlier leader and leave two disjoint majorities.
+	if n.log.commit < n.termStart || n.log.membersIndex() > n.log.commit {
+		return 0, 0, ErrChangePending
+	}
+	next, err := n.log.members().apply(c)
+	if err != nil {
+		return 0, 0, err
+	}
+	if c.Kind == Remove && c.ID == n.id {
+		return 0, 0, fmt.Errorf("%w: the leader %q cannot be removed", ErrBadChange, c.ID)
+	}
+	if c.Kind != AddLearner && !n.caughtUp(next, c) {
+		return 0, 0, ErrNotCaughtUp
+	}
+	index = n.appendOwn(Entry{Kind: EntryMembers, Data: next.Encode()})
+	n.syncPeers()
+	n.broadcast()
+	return index, n.term, nil
+}
+
+// caughtUp reports whether a majority of the new voters answers and stores
+// every committed entry. Without this, losing one more VM right after a
+// repair could lose committed entries or block the log.
+func (n *Node) caughtUp(next Membership, c Change) bool {
+	ready := 0
+	for _, member := range next {
+		ok := member.ID == n.id || n.peerCurrent(member.ID)
+		if c.Kind == Promote && member.ID == c.ID && !ok {
+			return false
+		}
+		if ok && member.Voter {
+			ready++
+		}
+	}
+	return ready >= next.Quorum()
+}
+
+func (n *Node) peerCurrent(id string) bool {
+	p := n.peers[id]
+	return p != nil && n.active(p) && p.match >= n.log.commit
+}
