--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -136,7 +136,7 @@
 // LeaseUntil returns the time of the clock until which no other replica can
 // lead, and false if this replica has no lease.
 func (n *Node) LeaseUntil() (time.Duration, bool) {
-	if n.role != Leader || n.transferee != "" || n.log.commit < n.termStart {
+	if n.role != Leader || n.log.commit < n.termStart {
 		return 0, false
 	}
 	base, ok := n.quorumEcho()
--- /dev/null
+++ b/internal/raft/raft_test.go
@@ -0,0 +1,216 @@
+package raft
+
+import (
+	"flag"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// seeds start the schedules of a normal run; RAFT_SCHEDULES asks for more.
+var seeds = []uint64{1, 2, 3, 5, 8, 13, 21, 34}
+
+const schedulesPerSeed = 40
+
+// action is one disturbance, followed by time in which the network runs.
+type action struct {
+	kind  int
+	host  int
+	other int
+	value int
+	pause time.Duration
+}
+
+// newAction spreads a drawn number, which rapid prefers to be small, evenly
+// over the actions.
+func newAction(position int, drawn uint64) action {
+	r := rand.New(rand.NewPCG(uint64(position), drawn))
+	a := action{kind: r.IntN(actionKinds), host: r.IntN(7), other: r.IntN(7), value: r.IntN(30)}
+	longest := []time.Duration{20 * time.Millisecond, 300 * time.Millisecond, 1500 * time.Millisecond}
+	a.pause = time.Duration(r.Int64N(int64(longest[r.IntN(len(longest))])))
+	return a
+}
+
+const actionKinds = 18
+
+func (w *network) act(a action) {
+	h := w.hosts[a.host%len(w.hosts)]
+	other := w.hosts[a.other%len(w.hosts)]
+	if a.kind < 7 {
+		w.disturb(a, h, other)
+		return
+	}
+	if lead := w.anyLeader(a.host); lead != nil && a.kind != actionKinds-1 {
+		h = lead
+	}
+	if h.node == nil || h.stalled {
+		return
+	}
+	switch a.kind {
+	case 7, 8, 9:
+		w.propose(h, 1+a.value)
+	case 10:
+		w.read(h)
+	case 11:
+		h.node.TransferLeadership()
+		w.check()
+	case 12, 13, 14:
+		_, _, _ = h.node.ProposeChange(Change{Kind: ChangeKind(a.kind - 11), ID: other.id, Address: other.id})
+		w.check()
+	default:
+		w.compact(h, uint64(a.value))
+	}
+	w.process(h)
+}
+
+func (w *network) disturb(a action, h, other *host) {
+	switch a.kind {
+	case 0:
+		h.node = nil
+	case 1:
+		for _, h := range w.hosts {
+			if h.node == nil {
+				w.start(h)
+			}
+		}
+	case 2:
+		w.blocked[link{h.id, other.id}] = true
+		if a.value%2 == 0 {
+			w.blocked[link{other.id, h.id}] = true
+		}
+	case 3:
+		w.isolate(h, a.value)
+	case 5:
+		if lead := w.anyLeader(a.host); lead != nil {
+			w.isolate(lead, a.value)
+		}
+	case 6:
+		for i, h := range w.hosts {
+			if a.value>>i&1 == 0 {
+				w.start(h)
+			}
+		}
+	case 4:
+		clear(w.blocked)
+		w.resume(other)
+		h.stalled = a.value%4 == 0
+	}
+}
+
+// isolate cuts a replica off, in both directions or only one.
+func (w *network) isolate(h *host, value int) {
+	for _, other := range w.hosts {
+		w.blocked[link{other.id, h.id}] = value%3 != 0
+		w.blocked[link{h.id, other.id}] = value%3 != 1
+	}
+}
+
+func (w *network) resume(h *host) {
+	if h.node != nil && h.stalled {
+		h.stalled = false
+		// The replica acts before its clock is looked at.
+		w.read(h)
+		w.handle(h)
+	}
+}
+
+// anyLeader returns a replica that takes itself for the leader.
+func (w *network) anyLeader(from int) *host {
+	for i := range w.hosts {
+		h := w.hosts[(from+i)%len(w.hosts)]
+		if h.node != nil && !h.stalled && h.node.role == Leader {
+			return h
+		}
+	}
+	return nil
+}
+
+// settle ends all disturbances and expects the log to work again.
+func (w *network) settle() {
+	w.loss, w.copies, w.crashing, w.delay = 0, 0, 0, simStep
+	clear(w.blocked)
+	for _, h := range w.hosts {
+		w.resume(h)
+		if h.node == nil {
+			w.start(h)
+		}
+	}
+	w.run(15 * time.Second)
+	lead := w.anyLeader(0)
+	if lead == nil {
+		w.fail("no leader 15 s after the last disturbance")
+		return
+	}
+	w.propose(lead, 1)
+	w.run(2 * time.Second)
+	for _, m := range lead.node.Members() {
+		if h := w.host(m.ID); h.applied != lead.node.log.last() {
+			w.fail("%s has applied %d of %d entries after all disturbances", h.id, h.applied, lead.node.log.last())
+		}
+	}
+}
+
+// checkSchedule guards against every way in which crashes, partitions, lost,
+// repeated and reordered messages, stalls and clock drift could break the log:
+// two leaders of a term, a committed entry that is lost or changed, unequal
+// states, overlapping leases, stale reads, or a log that does not recover.
+func checkSchedule(t *rapid.T) {
+	rates := rapid.SliceOfN(rapid.SampledFrom([]float64{0.99, 1, 1.01}), 7, 7).Draw(t, "rates")
+	voters := rapid.SampledFrom([]int{1, 2, 3, 3, 3, 5}).Draw(t, "voters")
+	w := newNetwork(rapid.Uint64().Draw(t, "seed"), voters, 2, rates)
+	w.loss = rapid.SampledFrom([]int{0, 0, 5, 30}).Draw(t, "loss")
+	w.copies = rapid.SampledFrom([]int{0, 10}).Draw(t, "copies")
+	w.crashing = rapid.SampledFrom([]int{0, 10, 100}).Draw(t, "crashing")
+	w.delay = rapid.SampledFrom([]time.Duration{simStep, 60 * time.Millisecond, 250 * time.Millisecond, 900 * time.Millisecond}).Draw(t, "delay")
+	w.tick = rapid.SampledFrom([]time.Duration{simStep, 100 * time.Millisecond}).Draw(t, "tick")
+	w.eager = rapid.Bool().Draw(t, "eager")
+	w.run(2 * time.Second)
+	for i, drawn := range rapid.SliceOfN(rapid.Uint64(), 15, 50).Draw(t, "actions") {
+		a := newAction(i, drawn)
+		w.act(a)
+		w.run(a.pause)
+		if w.problem != "" {
+			break
+		}
+	}
+	if w.problem == "" {
+		w.settle()
+	}
+	if w.problem != "" {
+		t.Fatal(w.problem)
+	}
+}
+
+func TestSchedules(t *testing.T) {
+	perSeed := schedulesPerSeed
+	if s := os.Getenv("RAFT_SCHEDULES"); s != "" {
+		total, err := strconv.Atoi(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		perSeed = total / len(seeds)
+	}
+	setFlag(t, "rapid.checks", strconv.Itoa(perSeed))
+	setFlag(t, "rapid.nofailfile", "true")
+	if f := flag.Lookup("rapid.seed"); f.Value.String() != "0" {
+		rapid.Check(t, checkSchedule)
+		return
+	}
+	for _, seed := range seeds {
+		setFlag(t, "rapid.seed", strconv.FormatUint(seed, 10))
+		rapid.Check(t, checkSchedule)
+	}
+}
+
+func setFlag(t *testing.T, name, value string) {
+	t.Helper()
+	old := flag.Lookup(name).Value.String()
+	if err := flag.Set(name, value); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = flag.Set(name, old) })
+}
