--- /dev/null
+++ b/internal/ratelimit/bound_test.go
@@ -0,0 +1,294 @@
+package ratelimit
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// admission is the net number of tokens admitted at one moment.
+type admission struct {
+	at     time.Time
+	tokens float64
+	charge float64
+}
+
+// fleet runs a root and a few VMs under a schedule that loses messages,
+// crashes VMs, replaces the leader and cuts VMs off.
+type fleet struct {
+	t          *testing.T
+	rng        *rand.Rand
+	now        time.Time
+	plan       Plan
+	root       *Root
+	locals     []*Local
+	start      []time.Time
+	admissions []*admission
+	open       []openCharge
+	waiting    []waitingRequest
+	// closest is the highest part of the bound that the schedule reached.
+	closest float64
+}
+
+type waitingRequest struct {
+	vm     int
+	local  *Local
+	waiter *Waiter
+	tokens float64
+}
+
+type openCharge struct {
+	vm        int
+	local     *Local
+	admission *admission
+}
+
+func newFleet(t *testing.T, seed uint64) *fleet {
+	f := &fleet{t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), plan: Plan{Rate: 200, Burst: 400, FloorFraction: 0.3, Slots: 3}}
+	f.root = NewRoot(f.now)
+	for vm := range f.plan.Slots {
+		f.locals = append(f.locals, nil)
+		f.start = append(f.start, time.Time{})
+		f.restart(vm)
+	}
+	return f
+}
+
+func (f *fleet) restart(vm int) {
+	holder := Holder{VM: fmt.Sprint("vm-", vm), Incarnation: uint64(f.now.UnixNano()) + 1}
+	f.locals[vm] = NewLocal(f.now, holder, fmt.Sprint("zone/", vm))
+}
+
+func (f *fleet) lookup(string) (Plan, bool) { return f.plan, true }
+
+// exchange reports to the root; the report or the answer may be lost.
+func (f *fleet) exchange(vm int, loseReport, loseAnswer bool) {
+	report, _ := f.locals[vm].Report(f.now)
+	if loseReport {
+		return
+	}
+	grants := f.root.Handle(f.now, report, f.lookup)
+	if !loseAnswer {
+		f.locals[vm].Credit(f.now, report.Sequence, grants)
+	}
+}
+
+// admit leaves the request waiting if its tokens are not there.
+func (f *fleet) admit(vm int, tokens float64) {
+	w := f.locals[vm].Admit(f.now, "w", f.plan, tokens)
+	if w == nil {
+		f.record(vm, tokens)
+		return
+	}
+	f.waiting = append(f.waiting, waitingRequest{vm, f.locals[vm], w, tokens})
+}
+
+func (f *fleet) record(vm int, tokens float64) {
+	a := &admission{at: f.now, tokens: tokens, charge: tokens}
+	f.admissions = append(f.admissions, a)
+	f.open = append(f.open, openCharge{vm, f.locals[vm], a})
+}
+
+// collect records the waiting requests that have been admitted.
+func (f *fleet) collect() {
+	f.waiting = slices.DeleteFunc(f.waiting, func(w waitingRequest) bool {
+		select {
+		case <-w.waiter.Ready:
+			if f.locals[w.vm] == w.local {
+				f.record(w.vm, w.tokens)
+			}
+			return true
+		default:
+			return f.locals[w.vm] != w.local
+		}
+	})
+}
+
+func (f *fleet) cancelAll() {
+	for _, w := range f.waiting {
+		w.local.Cancel(f.now, "w", w.waiter)
+	}
+	f.collect()
+	f.waiting = nil
+}
+
+func (f *fleet) settle(i int, fraction float64) {
+	o := f.open[i]
+	f.open = append(f.open[:i], f.open[i+1:]...)
+	if f.locals[o.vm] != o.local {
+		return // The VM that charged is gone; nothing comes back.
+	}
+	o.admission.tokens = math.Floor(o.admission.charge * fraction)
+	o.local.Settle(f.now, "w", o.admission.at, o.admission.charge, o.admission.tokens)
+}
+
+func (f *fleet) lend(from, to int, want float64, lose bool) {
+	sent := f.now
+	f.locals[to].Admit(f.now, "w", f.plan, 0)
+	tokens, ttl := f.locals[from].Lend(f.now, "w", want)
+	if !lose {
+		f.locals[to].Borrow(f.now, sent, "w", tokens, ttl)
+	}
+}
+
+// round is one episode: the buckets fill, tokens spread over VMs, something
+// fails, and then every VM drains what it can get. The bound is only reached
+// from full buckets.
+func (f *fleet) round() {
+	f.sleep(f.rng.IntN(8000))
+	for range f.rng.IntN(12) {
+		f.act(20)
+		if f.rng.IntN(2) == 0 {
+			f.hoard(f.rng.IntN(len(f.locals)))
+		}
+	}
+	f.sleep(f.rng.IntN(2200))
+	if f.rng.IntN(3) == 0 {
+		f.fail()
+	}
+	for range 10 + f.rng.IntN(40) {
+		f.act(20)
+		f.drain(f.rng.IntN(len(f.locals)))
+	}
+	f.cancelAll()
+}
+
+func (f *fleet) sleep(ms int) {
+	f.now = f.now.Add(time.Duration(ms) * time.Millisecond)
+}
+
+// drain admits small requests at one VM until one has to wait.
+func (f *fleet) drain(vm int) {
+	for range 20 {
+		waiting := len(f.waiting)
+		f.admit(vm, float64(5+f.rng.IntN(30)))
+		if len(f.waiting) > waiting {
+			return
+		}
+	}
+}
+
+// hoard leaves a VM with unspent tokens: its request gives up while the grant
+// is on the way.
+func (f *fleet) hoard(vm int) {
+	l := f.locals[vm]
+	w := l.Admit(f.now, "w", f.plan, float64(50+f.rng.IntN(250)))
+	report, _ := l.Report(f.now)
+	if w == nil || !l.Cancel(f.now, "w", w) {
+		return // Charged, and counted as unused: the tokens are lost.
+	}
+	l.Credit(f.now, report.Sequence, f.root.Handle(f.now, report, f.lookup))
+}
+
+// act takes one random action.
+func (f *fleet) act(maxStepMS int) {
+	vm := f.rng.IntN(len(f.locals))
+	switch action := f.rng.IntN(20); {
+	case action < 8:
+		f.exchange(vm, action == 0, action == 1)
+	case action < 12:
+		f.lend(vm, (vm+1)%len(f.locals), float64(1+f.rng.IntN(200)), action == 8)
+	case action < 16:
+		if n := len(f.open); n > 0 {
+			f.settle(f.rng.IntN(n), float64(f.rng.IntN(4))/4)
+		}
+	case action == 16:
+		f.reorder(vm)
+	default:
+		f.sleep(f.rng.IntN(maxStepMS))
+	}
+	f.collect()
+}
+
+// reorder lets a report arrive after a later one and delivers the late answer.
+func (f *fleet) reorder(vm int) {
+	l := f.locals[vm]
+	late, _ := l.Report(f.now)
+	f.exchange(vm, false, false)
+	f.collect()
+	f.drain(vm)
+	l.Credit(f.now, late.Sequence, f.root.Handle(f.now, late, f.lookup))
+}
+
+func (f *fleet) fail() {
+	switch f.rng.IntN(3) {
+	case 0:
+		f.restart(f.rng.IntN(len(f.locals)))
+	case 1:
+		f.root = NewRoot(f.now)
+	default:
+		// A VM out of reach of the root misses several exchanges.
+		f.sleep(1000 + f.rng.IntN(2000))
+	}
+}
+
+// check verifies the bound for every pair of admissions.
+func (f *fleet) check(seed uint64) {
+	for i, first := range f.admissions {
+		sum := 0.0
+		for _, last := range f.admissions[i:] {
+			sum += last.tokens
+			f.closest = max(f.closest, (sum-f.plan.Rate*last.at.Sub(first.at).Seconds())/f.plan.Burst)
+			bound := f.plan.Rate*last.at.Sub(first.at).Seconds() + f.plan.Burst
+			if sum > bound+1e-6 {
+				f.t.Fatalf("seed %d: %.3f tokens admitted in %v, the bound is %.3f", seed, sum, last.at.Sub(first.at), bound)
+			}
+		}
+	}
+}
+
+// Guards the bound of rate and burst over all VMs against lost messages,
+// crashes, new leaders, loans between VMs and refunds.
+func TestAdmittedTokensNeverExceedRateAndBurst(t *testing.T) {
+	const schedules, rounds = 500, 12
+	closest := 0.0
+	for seed := range uint64(schedules) {
+		f := newFleet(t, seed)
+		for range rounds {
+			f.round()
+		}
+		f.check(seed)
+		closest = max(closest, f.closest)
+	}
+	if closest < 0.95 {
+		t.Fatalf("the schedules only reach %.2f of the bound, so they would not notice most faults", closest)
+	}
+}
+
+// Guards against a zone that stops serving because the root is out of reach.
+func TestVMWithoutRootLivesOnItsFloorAndLoans(t *testing.T) {
+	now := time.Unix(1000, 0)
+	plan := Plan{Rate: 100, Burst: 300, FloorFraction: 0.3, Slots: 3}
+	a := NewLocal(now, Holder{"a", 1}, "z/0")
+	b := NewLocal(now, Holder{"b", 1}, "z/1")
+	b.Admit(now, "w", plan, 0)
+	a.Admit(now, "w", plan, 0)
+	now = now.Add(time.Minute)
+	if w := a.Admit(now, "w", plan, 29); w != nil {
+		t.Fatal("the floor of 30 tokens does not cover a request of 29")
+	}
+	w := a.Admit(now, "w", plan, 10)
+	if w == nil {
+		t.Fatal("an empty floor admitted a request")
+	}
+	tokens, ttl := b.Lend(now, "w", 10)
+	a.Borrow(now, now, "w", tokens, ttl)
+	select {
+	case <-w.Ready:
+	default:
+		t.Fatalf("a loan of %v tokens did not admit the waiting request", tokens)
+	}
+}
+
+// Guards against a restarted VM that spends its floor again.
+func TestRestartedVMStartsEmpty(t *testing.T) {
+	now := time.Unix(1000, 0)
+	plan := Plan{Rate: 100, Burst: 300, FloorFraction: 0.5, Slots: 1}
+	l := NewLocal(now, Holder{"a", 1}, "z/0")
+	if w := l.Admit(now, "w", plan, 1); w == nil {
+		t.Fatal("a VM admitted tokens at the moment of its start")
+	}
+}
