Track live VMs by SWIM over UDP

A VM knew only itself. Two delegates per zone exchange digests with other zones. Target announcements, heartbeats and drains spread by the same packets. Node.members() returns the live members.

--- /dev/null
+++ b/internal/adapter/gossip/conn.go
@@ -0,0 +1,133 @@
+package gossip
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cuminwing/cuminwing/internal/membership"
+	"github.com/cuminwing/cuminwing/internal/target"
+)
+
+// Counters of packets over all VMs in the process.
+var (
+	packetsSent    = expvar.NewInt("gossip_packets_sent")
+	bytesSent      = expvar.NewInt("gossip_bytes_sent")
+	packetsDropped = expvar.NewInt("gossip_packets_refused")
+	sendErrors     = expvar.NewInt("gossip_send_errors")
+)
+
+// Conn runs the membership core of one VM on a UDP socket.
+type Conn struct {
+	socket net.PacketConn
+	secret []byte
+	clock  func() time.Time
+
+	mu   sync.Mutex
+	core *membership.Core
+}
+
+// New returns a Conn that works once Run is called.
+func New(socket net.PacketConn, secret []byte, core *membership.Core, clock func() time.Time) *Conn {
+	return &Conn{socket: socket, secret: secret, core: core, clock: clock}
+}
+
+// Run receives packets and advances the core until ctx ends. It closes the
+// socket.
+func (c *Conn) Run(ctx context.Context) {
+	var wait sync.WaitGroup
+	wait.Go(c.receive)
+	ticker := time.NewTicker(membership.TickInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+			c.do(func(core *membership.Core, now time.Time) []membership.Packet { return core.Tick(now) })
+		}
+	}
+	_ = c.socket.Close()
+	wait.Wait()
+}
+
+// Members returns the live members.
+func (c *Conn) Members() []membership.Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.core.Members(c.clock())
+}
+
+// UpdateSelf takes over a changed payload of this VM.
+func (c *Conn) UpdateSelf(revision, keyDigest uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.core.UpdateSelf(c.clock(), revision, keyDigest)
+}
+
+// Announce spreads a heartbeat that came from the target itself.
+func (c *Conn) Announce(a target.Announcement, change target.Change) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.core.Announce(a, change, c.clock())
+}
+
+// Leave tells the other VMs that this one leaves. Run must go on for a moment
+// to repeat it.
+func (c *Conn) Leave() {
+	c.do(func(core *membership.Core, now time.Time) []membership.Packet { return core.Leave(now) })
+}
+
+func (c *Conn) receive() {
+	buf := make([]byte, membership.MaxPacketBytes+1)
+	for {
+		n, from, err := c.socket.ReadFrom(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			// An ICMP error of an earlier send may be reported here.
+			continue
+		}
+		m, err := Decode(c.secret, buf[:n])
+		if err != nil {
+			packetsDropped.Add(1)
+			continue
+		}
+		c.do(func(core *membership.Core, now time.Time) []membership.Packet {
+			return core.Receive(now, from.String(), m)
+		})
+	}
+}
+
+// do runs one step of the core and sends what it returns.
+func (c *Conn) do(step func(*membership.Core, time.Time) []membership.Packet) {
+	c.mu.Lock()
+	packets := step(c.core, c.clock())
+	c.mu.Unlock()
+	for i := range packets {
+		c.send(&packets[i])
+	}
+}
+
+func (c *Conn) send(p *membership.Packet) {
+	to, err := netip.ParseAddrPort(p.To)
+	if err != nil {
+		sendErrors.Add(1)
+		return
+	}
+	data, err := Encode(c.secret, &p.Message)
+	if err != nil {
+		sendErrors.Add(1)
+		return
+	}
+	if _, err := c.socket.WriteTo(data, net.UDPAddrFromAddrPort(to)); err != nil {
+		sendErrors.Add(1)
+		return
+	}
+	packetsSent.Add(1)
+	bytesSent.Add(int64(len(data)))
+}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cuminwing/cuminwing/internal/adapter/callerhttp"
+	"github.com/cuminwing/cuminwing/internal/adapter/gossip"
 	"github.com/cuminwing/cuminwing/internal/adapter/targethttp"
 	"github.com/cuminwing/cuminwing/internal/config"
 	"github.com/cuminwing/cuminwing/internal/control"
@@ -52,6 +53,7 @@
 	snapshot  atomic.Pointer[config.Snapshot]
 	withdrawn *keys.Withdrawn
 	registry  *target.Registry
+	gossip    *gossip.Conn
 	callers   *callerhttp.Server
 
 	// parts make up the replicated state; duties add theirs before
@@ -75,6 +77,7 @@
 func Start(s settings.Settings, options Options) (*Node, error) {
 	n := newNode(s, options)
 	steps := []func() error{
+		n.startMembership,
 		n.startTargets,
 		n.startServing,
 		n.startStatus,
@@ -127,7 +130,7 @@
 
 // members returns the live VMs, this one included.
 func (n *Node) members() []membership.Member {
-	return []membership.Member{n.self()}
+	return n.gossip.Members()
 }
 
 // self describes this VM.
@@ -199,6 +202,7 @@
 func (n *Node) Shutdown(ctx context.Context) error {
 	n.draining.Store(true)
 	n.logger.Info("VM is shutting down", zap.Int64("running_requests", n.callers.Active()))
+	n.leaveMembership()
 	err := n.waitIdle(ctx)
 	n.Close()
 	return err
--- a/internal/daemon/targets.go
+++ b/internal/daemon/targets.go
@@ -31,6 +31,7 @@
 
 func (n *Node) acceptAnnouncement(a target.Announcement) {
 	change := n.registry.Announce(a, n.clock())
+	n.gossip.Announce(a, change)
 	switch change {
 	case target.Joined, target.Replaced, target.Left:
 		n.logger.Info("target changed", zap.String("target", a.ID), zap.Uint64("incarnation", a.Incarnation), zap.Int("change", int(change)))
--- /dev/null
+++ b/internal/membership/core.go
@@ -0,0 +1,289 @@
+package membership
+
+import (
+	"hash/fnv"
+	"io"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/cuminwing/cuminwing/internal/target"
+)
+
+// Intervals and bounds of the protocol.
+const (
+	// TickInterval is how often Tick must be called. News moves one hop per
+	// tick; 100 ms lets it cross a zone of 44 VMs in about 0.4 s.
+	TickInterval = 100 * time.Millisecond
+	// probeInterval is the time between two direct probes of one VM.
+	probeInterval = time.Second
+	// probeTimeout is the wait for a direct answer before helpers are asked.
+	probeTimeout = 300 * time.Millisecond
+	// indirectProbes is the number of helpers.
+	indirectProbes = 3
+	// suspicionTimeout is the time a suspect has to refute. It is several
+	// times what the suspicion and the refutation need to cross a zone.
+	suspicionTimeout = 3 * time.Second
+	// fanout is the number of zone peers that get each piece of news per tick.
+	fanout = 3
+	// delegatesPerZone is the number of VMs that talk to other zones.
+	delegatesPerZone = 2
+	// digestInterval is the time between two digests of one delegate. Targets
+	// are unusable 3 s after their last heartbeat, so digests must be frequent.
+	digestInterval = 500 * time.Millisecond
+	// zoneTimeout is the silence after which a zone counts as cut off.
+	zoneTimeout = 5 * time.Second
+	// reviveInterval is the time between two probes of members that are
+	// thought dead, so that a cut heals by itself.
+	reviveInterval = 5 * time.Second
+	// joinInterval is the time between two tries to join while alone.
+	joinInterval = time.Second
+	// syncInterval is the least time between two requests for state.
+	syncInterval = 2 * time.Second
+	// mismatchGrace is how long a difference of state may be news in flight.
+	mismatchGrace = time.Second
+	// forgetDeadAfter and forgetLeftAfter bound how long former members are
+	// kept. The dead are kept long, because they may be cut off.
+	forgetDeadAfter = 24 * time.Hour
+	forgetLeftAfter = 10 * time.Minute
+	// hopAllowance is added to ages at each hop for the time on the way. It
+	// covers the 30 ms between regions.
+	hopAllowance = 40 * time.Millisecond
+)
+
+// Config configures a Core.
+type Config struct {
+	// Self describes this VM.
+	Self Member
+	// Join lists gossip addresses of VMs to join.
+	Join []string
+	// Registry holds the targets that are spread.
+	Registry *target.Registry
+	// Rand chooses peers.
+	Rand *rand.Rand
+}
+
+// Core is the membership protocol of one VM: messages and ticks in, packets
+// out. It is not safe for concurrent use.
+type Core struct {
+	self     Member
+	join     []string
+	registry *target.Registry
+	rand     *rand.Rand
+
+	members map[string]*entry
+	zones   map[string]*zoneState
+	news    map[string]*newsItem
+	out     []Packet
+	// quiet is true while the state of another VM is merged. Such news is old
+	// and mostly known, and VMs that lack it find out by digests.
+	quiet bool
+
+	sequence uint64
+	ring     []string
+	probe    probeState
+	relays   map[uint64]relay
+
+	digestNumber uint64
+	nextProbe    time.Time
+	nextDigest   time.Time
+	nextRevive   time.Time
+	nextJoin     time.Time
+	nextSync     time.Time
+}
+
+// entry is a member with what the observer adds.
+type entry struct {
+	Member
+	// since is when the status was taken.
+	since time.Time
+}
+
+func (e *entry) live() bool { return e.Status == Alive || e.Status == Suspect }
+
+// New returns a core that starts to work with its first tick.
+func New(c Config, now time.Time) *Core {
+	core := &Core{
+		self:     c.Self,
+		join:     c.Join,
+		registry: c.Registry,
+		rand:     c.Rand,
+		members:  make(map[string]*entry),
+		zones:    make(map[string]*zoneState),
+		news:     make(map[string]*newsItem),
+		relays:   make(map[uint64]relay),
+	}
+	core.self.Status = Alive
+	core.self.Version = 1
+	core.members[c.Self.VM] = &entry{Member: core.self, since: now}
+	// A random phase keeps VMs that start together from probing together.
+	phase := time.Duration(c.Rand.Int64N(int64(digestInterval)))
+	core.nextProbe = now.Add(phase)
+	core.nextDigest = now.Add(phase)
+	core.nextRevive = now.Add(reviveInterval)
+	core.spreadMember(core.self, false)
+	return core
+}
+
+// Tick advances the protocol and returns the packets to send.
+func (c *Core) Tick(now time.Time) []Packet {
+	c.expire(now)
+	c.tickJoin(now)
+	c.tickProbe(now)
+	c.tickRevive(now)
+	c.tickZones(now)
+	for _, d := range c.registry.TakeOwnDrains() {
+		c.spreadDrain(d, true)
+	}
+	c.tickNews(now)
+	return c.take()
+}
+
+// Receive handles one message and returns the packets to send.
+func (c *Core) Receive(now time.Time, from string, m Message) []Packet {
+	if m.From == c.self.VM && m.Incarnation == c.self.Incarnation {
+		return nil
+	}
+	c.quiet = m.Kind == KindSync
+	c.merge(now, from, &m)
+	c.quiet = false
+	if c.accusedBy(&m) {
+		c.send(from, Message{Kind: KindGossip, Updates: []Update{{Member: c.self, Brief: true}}})
+	}
+	switch m.Kind {
+	case KindProbe:
+		c.send(from, c.answer(now, &m))
+	case KindAck:
+		c.acknowledged(m.Sequence)
+	case KindProbeRequest:
+		c.probeFor(now, from, &m)
+	case KindSyncRequest:
+		c.sendState(now, from, m.Zones)
+		if m.PullBack {
+			c.send(from, Message{Kind: KindSyncRequest, Zones: m.Zones})
+		}
+	}
+	c.checkSender(now, from, &m)
+	return c.take()
+}
+
+// Leave marks this VM as left. Later ticks spread it; it takes back nothing.
+func (c *Core) Leave(now time.Time) []Packet {
+	c.self.Status = Left
+	c.self.Version++
+	c.storeSelf(now)
+	left := Update{Member: c.self}
+	tell := func(e *entry) { c.send(e.GossipAddress, Message{Kind: KindGossip, Updates: []Update{left}}) }
+	for _, e := range c.zonePeers() {
+		tell(e)
+	}
+	c.toOtherZones(tell)
+	return c.take()
+}
+
+// UpdateSelf takes over a changed configuration revision or key digest.
+func (c *Core) UpdateSelf(now time.Time, revision, keyDigest uint64) {
+	if c.self.ConfigRevision == revision && c.self.KeyDigest == keyDigest {
+		return
+	}
+	c.self.ConfigRevision = revision
+	c.self.KeyDigest = keyDigest
+	c.self.Version++
+	c.storeSelf(now)
+}
+
+// Announce spreads a heartbeat that this VM got from the target itself and
+// that changed the registry in the given way.
+func (c *Core) Announce(a target.Announcement, change target.Change, now time.Time) {
+	c.spreadTarget(a, change, now)
+}
+
+// Members returns the live members, sorted by name, this VM included unless
+// it left. Members of a zone that is cut off are not live.
+func (c *Core) Members(now time.Time) []Member {
+	var out []Member
+	for _, e := range c.members {
+		if e.live() && c.reachable(e.Zone, now) {
+			out = append(out, e.Member)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].VM < out[j].VM })
+	return out
+}
+
+func (c *Core) storeSelf(now time.Time) {
+	c.members[c.self.VM] = &entry{Member: c.self, since: now}
+	c.spreadMember(c.self, true)
+}
+
+func (c *Core) send(to string, m Message) {
+	m.From = c.self.VM
+	m.Incarnation = c.self.Incarnation
+	m.Zone = c.self.Zone
+	c.out = append(c.out, Packet{To: to, Message: m})
+}
+
+func (c *Core) take() []Packet {
+	out := c.out
+	c.out = nil
+	return out
+}
+
+// inZone returns the live members of a zone, sorted by name.
+func (c *Core) inZone(zone string) []*entry {
+	var out []*entry
+	for _, e := range c.members {
+		if e.Zone == zone && e.live() {
+			out = append(out, e)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].VM < out[j].VM })
+	return out
+}
+
+// zonePeers returns the live members of this VM's zone without itself.
+func (c *Core) zonePeers() []*entry {
+	all := c.inZone(c.self.Zone)
+	peers := all[:0]
+	for _, e := range all {
+		if e.VM != c.self.VM {
+			peers = append(peers, e)
+		}
+	}
+	return peers
+}
+
+// delegates returns the VMs that talk to other zones for zone.
+func (c *Core) delegates(zone string) []*entry {
+	all := c.inZone(zone)
+	return all[:min(delegatesPerZone, len(all))]
+}
+
+func (c *Core) isDelegate() bool {
+	for _, e := range c.delegates(c.self.Zone) {
+		if e.VM == c.self.VM {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) shuffled(entries []*entry) []*entry {
+	c.rand.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
+	return entries
+}
+
+// membersHash identifies the live members of a zone and their versions.
+func (c *Core) membersHash(zone string) uint64 {
+	h := fnv.New64a()
+	for _, e := range c.inZone(zone) {
+		_, _ = io.WriteString(h, e.VM)
+		var buf [16]byte
+		for i := range 8 {
+			buf[i] = byte(e.Incarnation >> (8 * i))
+			buf[8+i] = byte(e.Version >> (8 * i))
+		}
+		_, _ = h.Write(buf[:])
+	}
+	return h.Sum64()
+}
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -27,8 +27,11 @@
 	AdminAddress  string
 	// Voter is true if it is in the first voter set of the control log.
 	Voter bool
-	// Incarnation grows with every start and every refutation.
+	// Incarnation is the start time of the VM in microseconds.
 	Incarnation uint64
+	// Version grows, within an incarnation, with every refutation and every
+	// change of the payload. Only the member itself raises it.
+	Version uint64
 	// Status is what the observer believes.
 	Status Status
 	// ConfigRevision is the configuration that it has in force.
--- /dev/null
+++ b/internal/membership/zones.go
@@ -0,0 +1,149 @@
+package membership
+
+import (
+	"sort"
+	"time"
+)
+
+// zoneState is what this VM knows about a zone as a whole.
+type zoneState struct {
+	// heard is when the newest digest was received.
+	heard time.Time
+	// passedOn is when a digest was last queued for the zone peers.
+	passedOn time.Time
+	// numbers holds the newest digest of each VM that made one.
+	numbers map[string]digestNumber
+	// differsSince is when the state here began to differ from the digests.
+	differsSince time.Time
+}
+
+type digestNumber struct{ incarnation, number uint64 }
+
+// passOnInterval bounds how often digests of one zone are passed on. Both
+// delegates of a zone make digests; passing on each would double the bytes.
+const passOnInterval = 300 * time.Millisecond
+
+func (c *Core) zone(name string) *zoneState {
+	z, ok := c.zones[name]
+	if !ok {
+		z = &zoneState{numbers: make(map[string]digestNumber)}
+		c.zones[name] = z
+	}
+	return z
+}
+
+// reachable reports whether a zone was heard from lately.
+func (c *Core) reachable(zone string, now time.Time) bool {
+	return zone == c.self.Zone || now.Sub(c.zone(zone).heard) < zoneTimeout
+}
+
+// digest summarises this VM's own zone.
+func (c *Core) digest(now time.Time) Digest {
+	c.digestNumber++
+	return Digest{
+		Zone:        c.self.Zone,
+		VM:          c.self.VM,
+		Incarnation: c.self.Incarnation,
+		Number:      c.digestNumber,
+		MembersHash: c.membersHash(c.self.Zone),
+		Targets:     c.registry.Summarize(c.self.Zone, now),
+	}
+}
+
+// tickZones lets a delegate send its digest to its zone and to the delegates
+// of other zones.
+func (c *Core) tickZones(now time.Time) {
+	if now.Before(c.nextDigest) || c.self.Status == Left {
+		return
+	}
+	c.nextDigest = now.Add(digestInterval)
+	if !c.isDelegate() {
+		return
+	}
+	d := c.digest(now)
+	c.spreadDigest(d, now.Add(-d.Targets.Age))
+	probe := Message{Kind: KindProbe, Digests: []Digest{d}}
+	c.toOtherZones(func(e *entry) { c.send(e.GossipAddress, probe) })
+	c.probeSilentZones(now, probe)
+}
+
+// toOtherZones calls f for the delegates of every other zone.
+func (c *Core) toOtherZones(f func(*entry)) {
+	for _, zone := range c.otherZones() {
+		for _, e := range c.delegates(zone) {
+			f(e)
+		}
+	}
+}
+
+func (c *Core) otherZones() []string {
+	seen := make(map[string]bool)
+	var zones []string
+	for _, e := range c.members {
+		if e.Zone != c.self.Zone && !seen[e.Zone] {
+			seen[e.Zone] = true
+			zones = append(zones, e.Zone)
+		}
+	}
+	sort.Strings(zones)
+	return zones
+}
+
+// probeSilentZones probes any member of a zone that is not heard from: during
+// a cut the delegates known here may have been replaced.
+func (c *Core) probeSilentZones(now time.Time, probe Message) {
+	for _, zone := range c.otherZones() {
+		if c.reachable(zone, now) {
+			continue
+		}
+		var all []*entry
+		for _, e := range c.members {
+			if e.Zone == zone && e.Status != Left {
+				all = append(all, e)
+			}
+		}
+		if len(all) == 0 {
+			continue
+		}
+		sort.Slice(all, func(i, j int) bool { return all[i].VM < all[j].VM })
+		c.send(all[c.rand.IntN(len(all))].GossipAddress, probe)
+	}
+}
+
+func (c *Core) mergeDigest(now time.Time, from string, d Digest) {
+	z := c.zone(d.Zone)
+	last := z.numbers[d.VM]
+	if d.Incarnation < last.incarnation || d.Incarnation == last.incarnation && d.Number <= last.number {
+		return
+	}
+	z.numbers[d.VM] = digestNumber{d.Incarnation, d.Number}
+	z.heard = now
+	d.Targets.Age += hopAllowance
+	same := c.membersHash(d.Zone) == d.MembersHash
+	if d.Zone == c.self.Zone {
+		same = c.registry.Summarize(d.Zone, now).Hash == d.Targets.Hash && same
+	} else {
+		same = c.registry.ApplySummary(d.Zone, d.Targets, now) && same
+	}
+	c.compare(now, from, d.Zone, same)
+	if now.Sub(z.passedOn) >= passOnInterval {
+		z.passedOn = now
+		c.spreadDigest(d, now.Add(-d.Targets.Age))
+	}
+}
+
+// compare asks for the state of a zone if it differs for longer than news
+// takes to arrive.
+func (c *Core) compare(now time.Time, from, zone string, same bool) {
+	z := c.zone(zone)
+	if same {
+		z.differsSince = time.Time{}
+		return
+	}
+	if z.differsSince.IsZero() {
+		z.differsSince = now
+	}
+	if now.Sub(z.differsSince) >= mismatchGrace {
+		c.requestSync(now, from, []string{zone}, zone == c.self.Zone)
+	}
+}
--- a/internal/target/registry.go
+++ b/internal/target/registry.go
@@ -102,6 +102,8 @@
 	LastHeard time.Time
 	// Draining is true if an operator took the target out of service.
 	Draining bool
+
+	description uint64
 }
 
 // Ref returns the incarnation that t describes.
@@ -125,35 +127,46 @@
 	Joined
 	Replaced
 	Left
+	// Redescribed means that more than the sequence and the load changed.
+	Redescribed
 )
 
 // Registry holds the targets known to one VM. It is safe for concurrent use.
 type Registry struct {
 	mu      sync.RWMutex
 	targets map[string]*Target
-	drained map[string]bool
+	byKey   map[uint64]string
+	drained map[string]Drain
+	// ownDrains are drains decided on this VM and not yet taken.
+	ownDrains []Drain
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{targets: make(map[string]*Target), drained: make(map[string]bool)}
+	return &Registry{
+		targets: make(map[string]*Target),
+		byKey:   make(map[uint64]string),
+		drained: make(map[string]Drain),
+	}
 }
 
 // Announce merges one heartbeat. A higher incarnation replaces a lower one;
 // within an incarnation the higher sequence wins and leaving never reverts.
-func (r *Registry) Announce(a Announcement, now time.Time) Change {
+// Heard is when a VM received the heartbeat from the target itself.
+func (r *Registry) Announce(a Announcement, heard time.Time) Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old, known := r.targets[a.ID]
 	if !known {
-		r.store(a, now)
+		r.store(a, heard)
 		return Joined
 	}
 	if a.Incarnation < old.Incarnation {
 		return Stale
 	}
 	if a.Incarnation > old.Incarnation {
-		r.store(a, now)
+		delete(r.byKey, old.Ref().Key())
+		r.store(a, heard)
 		return Replaced
 	}
 	if a.Sequence <= old.Sequence {
@@ -161,27 +174,14 @@
 	}
 	leaves := a.Leaving && !old.Leaving
 	a.Leaving = a.Leaving || old.Leaving
-	r.store(a, now)
+	r.store(a, later(heard, old.LastHeard))
 	if leaves {
 		return Left
 	}
-	return Refreshed
-}
-
-// Drain takes a target out of service, or returns it, until changed again.
-func (r *Registry) Drain(id string, drained bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if drained {
-		r.drained[id] = true
-	} else {
-		delete(r.drained, id)
-	}
-	if t, ok := r.targets[id]; ok {
-		replaced := *t
-		replaced.Draining = drained
-		r.targets[id] = &replaced
+	if r.targets[a.ID].description != old.description {
+		return Redescribed
 	}
+	return Refreshed
 }
 
 // Expire forgets targets not heard of for age and returns them.
@@ -193,6 +193,7 @@
 		if now.Sub(t.LastHeard) >= age {
 			gone = append(gone, t.Ref())
 			delete(r.targets, id)
+			delete(r.byKey, t.Ref().Key())
 		}
 	}
 	return gone
@@ -240,6 +241,20 @@
 }
 
 // store puts a copy in place; readers may still hold the former pointer.
-func (r *Registry) store(a Announcement, now time.Time) {
-	r.targets[a.ID] = &Target{Announcement: a, LastHeard: now, Draining: r.drained[a.ID]}
+func (r *Registry) store(a Announcement, heard time.Time) {
+	t := &Target{
+		Announcement: a,
+		LastHeard:    heard,
+		Draining:     r.drained[a.ID].Drained,
+		description:  describe(&a),
+	}
+	r.targets[a.ID] = t
+	r.byKey[t.Ref().Key()] = a.ID
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
