Admit requests by the fleet-wide rate of their workspace

Cause: the daemon let every request pass. Change: the daemon reports to the root on the log leader, borrows from zone peers while requests wait, and settles by the tokens delivered; the demo runs three VMs in two zones with a control log.

--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -5,28 +5,26 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/cuminwing/cuminwing/internal/config"
-	"github.com/cuminwing/cuminwing/internal/daemon"
 	"github.com/cuminwing/cuminwing/internal/keys"
-	"github.com/cuminwing/cuminwing/internal/settings"
 	"github.com/cuminwing/cuminwing/internal/standin"
 )
 
 const (
-	demoTimeout       = 30 * time.Second
-	demoPoll          = 50 * time.Millisecond
-	demoTokenInterval = 5 * time.Millisecond
-	demoModel         = "gutachter"
-	demoVersion       = "v1"
+	demoTimeout = 30 * time.Second
+	demoPoll    = 50 * time.Millisecond
+	demoModel   = "gutachter"
+	demoVersion = "v1"
 )
 
 func addDemo(r *registry) {
-	demo := r.app.Command("demo", "Starts VMs and stand-in engines on loopback and streams one request through them.")
+	demo := r.app.Command("demo", "Starts three VMs in two zones and stand-in engines on loopback and streams one request through them.")
 	prompt := demo.Flag("prompt", "Prompt to send.").Default("Grade this sleeper: oak, 1987, two cracks.").String()
 	r.add(demo, func(out, errOut io.Writer) int {
 		if err := runDemo(*prompt, out); err != nil {
@@ -44,63 +42,50 @@
 	if err != nil {
 		return err
 	}
-	node, address, err := startDemoVM(key)
+	fleet, err := startFleet(demoDocument(key), demoEngines())
 	if err != nil {
 		return err
 	}
-	defer node.Close()
-	engine, err := standin.StartEngine("127.0.0.1:0", standin.EngineOptions{
-		ID: "engine-1", Zone: "muc-a", Region: "oberbayern", Model: demoModel, Version: demoVersion,
-		Announce: []string{"http://" + address.TargetAddress}, TokenInterval: demoTokenInterval, BatchSlots: 8,
-	})
-	if err != nil {
-		return err
-	}
-	defer engine.Close()
-	return streamDemo(ctx, "http://"+address.CallerAddress, key, prompt, out)
+	defer fleet.close()
+	return streamDemo(ctx, fleet.callerURLs()[0], key, prompt, out)
 }
 
-func startDemoVM(key string) (*daemon.Node, settings.Settings, error) {
-	s := settings.Settings{VM: "vm-1", Zone: "muc-a", Region: "oberbayern"}
-	for _, a := range []*string{&s.CallerAddress, &s.TargetAddress, &s.PeerAddress, &s.GossipAddress, &s.AdminAddress} {
-		address, err := freeAddress()
-		if err != nil {
-			return nil, s, err
-		}
-		*a = address
-	}
-	document := config.Document{
+func demoDocument(key string) config.Document {
+	return config.Document{
 		Models:     map[string]config.Model{demoModel: {ServingVersion: demoVersion}},
 		Workspaces: map[string]config.Workspace{"yards": {Keys: []config.Key{{ID: "demo", SHA256: keys.Sum(key).String()}}}},
 		Rates:      map[string]config.Rate{"yards": {RateTokensPerSecond: 10000, BurstTokens: 50000}},
 		Routes:     map[string]config.Route{"grade": {Kind: config.KindModel, Model: demoModel}},
-		Zones:      map[string]config.Zone{"muc-a": {Region: "oberbayern", VMSlots: 1}},
+		Zones: map[string]config.Zone{
+			"muc-a": {Region: "oberbayern", VMSlots: 2},
+			"muc-b": {Region: "oberbayern", VMSlots: 1},
+		},
 	}
-	node, err := daemon.Start(s, daemon.Options{Document: &document})
-	return node, s, err
 }
 
-// freeAddress returns a loopback address whose port was free a moment ago.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+func demoEngines() []standin.EngineOptions {
+	engine := standin.EngineOptions{
+		Region: "oberbayern", Model: demoModel, Version: demoVersion,
+		TokenInterval: engineTokenInterval, BatchSlots: 8,
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	a, b := engine, engine
+	a.ID, a.Zone = "engine-1", "muc-a"
+	b.ID, b.Zone = "engine-2", "muc-b"
+	return []standin.EngineOptions{a, b}
 }
 
+// streamDemo retries while the service is starting: engines announce
+// themselves and the rate buckets fill from empty.
 func streamDemo(ctx context.Context, base, key, prompt string, out io.Writer) error {
 	for {
 		resp, err := demoRequest(ctx, base, key, prompt)
 		if err != nil {
 			return err
 		}
-		if resp.StatusCode != http.StatusServiceUnavailable {
+		if resp.StatusCode != http.StatusServiceUnavailable && resp.StatusCode != http.StatusTooManyRequests {
 			defer resp.Body.Close()
 			return printDemo(resp, out)
 		}
-		// The engine has not announced itself yet.
 		resp.Body.Close()
 		select {
 		case <-ctx.Done():
@@ -139,3 +124,7 @@
 	}
 	return scanner.Err()
 }
+
+func sortedKeys[V any](m map[string]V) []string {
+	return slices.Sorted(maps.Keys(m))
+}
--- /dev/null
+++ b/internal/cli/fleet.go
@@ -0,0 +1,160 @@
+package cli
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cuminwing/cuminwing/internal/config"
+	"github.com/cuminwing/cuminwing/internal/daemon"
+	"github.com/cuminwing/cuminwing/internal/settings"
+	"github.com/cuminwing/cuminwing/internal/standin"
+)
+
+// maxVoters is the number of voters of a local fleet.
+const maxVoters = 3
+
+// localFleet runs VMs and stand-in engines on loopback inside this process,
+// with the disks of its voters in a temporary folder.
+type localFleet struct {
+	folder   string
+	settings []settings.Settings
+	nodes    []*daemon.Node
+	engines  []*standin.Engine
+}
+
+// startFleet starts one VM per slot of the document's zones, and the engines.
+func startFleet(document config.Document, engines []standin.EngineOptions) (*localFleet, error) {
+	folder, err := os.MkdirTemp("", "cuminwing-")
+	if err != nil {
+		return nil, err
+	}
+	f := &localFleet{folder: folder}
+	if err := f.start(document, engines); err != nil {
+		f.close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *localFleet) start(document config.Document, engines []standin.EngineOptions) error {
+	if err := f.plan(document); err != nil {
+		return err
+	}
+	for _, s := range f.settings {
+		node, err := daemon.Start(s, daemon.Options{Document: &document})
+		if err != nil {
+			return err
+		}
+		f.nodes = append(f.nodes, node)
+	}
+	for _, options := range engines {
+		options.Announce = f.announceURLs(options.Zone)
+		engine, err := standin.StartEngine("127.0.0.1:0", options)
+		if err != nil {
+			return err
+		}
+		f.engines = append(f.engines, engine)
+	}
+	return nil
+}
+
+// plan makes the settings of every VM. The first VMs of different zones are
+// the voters.
+func (f *localFleet) plan(document config.Document) error {
+	byZone := make(map[string][]int)
+	for _, zone := range sortedKeys(document.Zones) {
+		z := document.Zones[zone]
+		for slot := range z.VMSlots {
+			s := settings.Settings{VM: fmt.Sprintf("vm-%s-%d", zone, slot), Zone: zone, Region: z.Region, Slot: slot}
+			if err := giveAddresses(&s); err != nil {
+				return err
+			}
+			byZone[zone] = append(byZone[zone], len(f.settings))
+			f.settings = append(f.settings, s)
+		}
+	}
+	f.chooseVoters(byZone)
+	return nil
+}
+
+func (f *localFleet) chooseVoters(byZone map[string][]int) {
+	var order []int
+	for round := 0; len(order) < len(f.settings); round++ {
+		for _, zone := range sortedKeys(byZone) {
+			if vms := byZone[zone]; round < len(vms) {
+				order = append(order, vms[round])
+			}
+		}
+	}
+	count := min(maxVoters, len(order))
+	if count == 2 {
+		count = 1
+	}
+	voters := make(map[string]string)
+	for _, i := range order[:count] {
+		voters[f.settings[i].VM] = f.settings[i].PeerAddress
+		f.settings[i].DataFolder = filepath.Join(f.folder, f.settings[i].VM)
+	}
+	join := f.settings[0].GossipAddress
+	for i := range f.settings {
+		f.settings[i].Voters = voters
+		f.settings[i].Join = []string{join}
+	}
+}
+
+// announceURLs lists the target listeners of the zone's VMs.
+func (f *localFleet) announceURLs(zone string) []string {
+	var urls []string
+	for _, s := range f.settings {
+		if s.Zone == zone {
+			urls = append(urls, "http://"+s.TargetAddress)
+		}
+	}
+	return urls
+}
+
+// callerURLs lists the caller listeners of all VMs.
+func (f *localFleet) callerURLs() []string {
+	var urls []string
+	for _, s := range f.settings {
+		urls = append(urls, "http://"+s.CallerAddress)
+	}
+	return urls
+}
+
+func (f *localFleet) close() {
+	for _, e := range f.engines {
+		e.Close()
+	}
+	for _, n := range f.nodes {
+		n.Close()
+	}
+	_ = os.RemoveAll(f.folder)
+}
+
+func giveAddresses(s *settings.Settings) error {
+	for _, a := range []*string{&s.CallerAddress, &s.TargetAddress, &s.PeerAddress, &s.GossipAddress, &s.AdminAddress} {
+		address, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		*a = address
+	}
+	return nil
+}
+
+// freeAddress returns a loopback address whose port was free a moment ago.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// engineTokenInterval is the time between tokens of a stand-in engine.
+const engineTokenInterval = 5 * time.Millisecond
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -61,6 +61,7 @@
 	// startControl runs. log is nil on a VM that cannot reach any voter yet.
 	parts map[control.Kind]control.Part
 	log   control.Log
+	rates *rates
 	// replica is nil on a VM without a disk.
 	replica *replica.Replica
 
@@ -82,6 +83,7 @@
 	steps := []func() error{
 		n.startMembership,
 		n.startTargets,
+		n.startRates,
 		n.startServing,
 		n.startControl,
 		n.startStatus,
--- a/internal/daemon/serving.go
+++ b/internal/daemon/serving.go
@@ -22,7 +22,7 @@
 	}
 	service := &serving.Service{
 		Clock:    n.clock,
-		Limiter:  unlimited{},
+		Limiter:  n.rates,
 		Queue:    unordered{},
 		Claims:   noClaims{},
 		Picker:   picker,
--- a/internal/ratelimit/bound_test.go
+++ b/internal/ratelimit/bound_test.go
@@ -148,6 +148,7 @@
 	f.sleep(f.rng.IntN(2200))
 	if f.rng.IntN(3) == 0 {
 		f.fail()
+		f.sleep(f.rng.IntN(1900))
 	}
 	for range 10 + f.rng.IntN(40) {
 		f.act(20)
