Order waiting requests by weighted fair queueing

Cause: requests went to engines in order of arrival, so a backlog of one workspace delayed all others. Conclusion: wired in the daemon; the effect on p99 under load is still to be measured.

--- a/internal/daemon/passthrough.go
+++ b/internal/daemon/passthrough.go
@@ -9,12 +9,6 @@
 
 // The types in this file stand where a duty is not wired yet.
 
-type unordered struct{}
-
-func (unordered) Acquire(context.Context, serving.QueueRequest) (func(int, int), *serving.Refusal) {
-	return func(int, int) {}, nil
-}
-
 // noClaims refuses every at-most-once request, which is true to its promise.
 type noClaims struct{}
 
--- a/internal/daemon/serving.go
+++ b/internal/daemon/serving.go
@@ -23,7 +23,7 @@
 	service := &serving.Service{
 		Clock:    n.clock,
 		Limiter:  n.rates,
-		Queue:    unordered{},
+		Queue:    n.newQueue(),
 		Claims:   noClaims{},
 		Picker:   picker,
 		Retries:  alwaysRetry{},
