Add the replicated configuration and withdrawn-keys parts

Sections of the service document change by edits with compare-and-set on the section revision and an edit ID. An edit carries a JSON merge patch per section; only the members that a patch mentions are decoded again.

Validation now visits workspaces and routes in name order, because every voter has to give the same answer to an edit.

--- /dev/null
+++ b/internal/config/merge.go
@@ -0,0 +1,195 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"sort"
+)
+
+// Contents is one section as raw JSON: its object's members by name. A value
+// is immutable; Merge returns a new one.
+type Contents map[string]json.RawMessage
+
+// ParseContents decodes the object of one section.
+func ParseContents(data []byte) (Contents, error) {
+	var c Contents
+	if err := json.Unmarshal(data, &c); err != nil {
+		return nil, err
+	}
+	for name, raw := range c {
+		compact, err := canonical(raw)
+		if err != nil {
+			return nil, err
+		}
+		c[name] = compact
+	}
+	return c, nil
+}
+
+// JSON encodes the section with its members sorted by name.
+func (c Contents) JSON() []byte {
+	if c == nil {
+		return []byte("{}")
+	}
+	// Members are valid JSON, so encoding cannot fail.
+	data, _ := json.Marshal(map[string]json.RawMessage(c))
+	return data
+}
+
+// Merge applies a JSON merge patch (RFC 7396). It returns the merged section
+// and the names of the members that the patch mentions, sorted.
+func (c Contents) Merge(patch []byte) (Contents, []string, error) {
+	var members map[string]json.RawMessage
+	if err := json.Unmarshal(patch, &members); err != nil {
+		return nil, nil, fmt.Errorf("patch is not a JSON object: %w", err)
+	}
+	if members == nil {
+		return nil, nil, fmt.Errorf("patch is null, want a JSON object")
+	}
+	merged := maps.Clone(c)
+	if merged == nil {
+		merged = make(Contents, len(members))
+	}
+	changed := make([]string, 0, len(members))
+	for name, member := range members {
+		changed = append(changed, name)
+		if isNull(member) {
+			delete(merged, name)
+			continue
+		}
+		value, err := mergeValue(merged[name], member)
+		if err != nil {
+			return nil, nil, err
+		}
+		merged[name] = value
+	}
+	sort.Strings(changed)
+	return merged, changed, nil
+}
+
+func mergeValue(old, patch json.RawMessage) (json.RawMessage, error) {
+	change, err := decodeValue(patch)
+	if err != nil {
+		return nil, err
+	}
+	var current any
+	if len(old) > 0 {
+		if current, err = decodeValue(old); err != nil {
+			return nil, err
+		}
+	}
+	return encodeValue(mergeTree(current, change))
+}
+
+// mergeTree is the function MergePatch of RFC 7396, section 2.
+func mergeTree(current, patch any) any {
+	members, ok := patch.(map[string]any)
+	if !ok {
+		return patch
+	}
+	object, ok := current.(map[string]any)
+	if !ok {
+		object = make(map[string]any, len(members))
+	}
+	for name, value := range members {
+		if value == nil {
+			delete(object, name)
+			continue
+		}
+		object[name] = mergeTree(object[name], value)
+	}
+	return object
+}
+
+// Diff returns the merge patch that turns c into want; nil if they are equal.
+func (c Contents) Diff(want Contents) []byte {
+	patch := make(map[string]any)
+	for name := range c {
+		if _, kept := want[name]; !kept {
+			patch[name] = nil
+		}
+	}
+	for name, raw := range want {
+		old, known := c[name]
+		if known && bytes.Equal(old, raw) {
+			continue
+		}
+		patch[name] = diffRaw(old, raw)
+	}
+	if len(patch) == 0 {
+		return nil
+	}
+	data, _ := encodeValue(patch)
+	return data
+}
+
+func diffRaw(old, want json.RawMessage) any {
+	target, _ := decodeValue(want)
+	if len(old) == 0 {
+		return target
+	}
+	current, _ := decodeValue(old)
+	return diffTree(current, target)
+}
+
+func diffTree(current, want any) any {
+	from, ok := current.(map[string]any)
+	to, alsoObject := want.(map[string]any)
+	if !ok || !alsoObject {
+		return want
+	}
+	patch := make(map[string]any)
+	for name := range from {
+		if _, kept := to[name]; !kept {
+			patch[name] = nil
+		}
+	}
+	for name, value := range to {
+		old, known := from[name]
+		if known && equalTree(old, value) {
+			continue
+		}
+		patch[name] = diffTree(old, value)
+	}
+	return patch
+}
+
+func equalTree(a, b any) bool {
+	x, _ := encodeValue(a)
+	y, _ := encodeValue(b)
+	return bytes.Equal(x, y)
+}
+
+// canonical gives equal values equal bytes: members sorted, no white space,
+// numbers as written.
+func canonical(raw json.RawMessage) (json.RawMessage, error) {
+	value, err := decodeValue(raw)
+	if err != nil {
+		return nil, err
+	}
+	return encodeValue(value)
+}
+
+func decodeValue(raw json.RawMessage) (any, error) {
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	dec.UseNumber()
+	var value any
+	err := dec.Decode(&value)
+	return value, err
+}
+
+func encodeValue(value any) (json.RawMessage, error) {
+	var buf bytes.Buffer
+	enc := json.NewEncoder(&buf)
+	enc.SetEscapeHTML(false)
+	if err := enc.Encode(value); err != nil {
+		return nil, err
+	}
+	return bytes.TrimSpace(buf.Bytes()), nil
+}
+
+func isNull(raw json.RawMessage) bool {
+	return bytes.Equal(bytes.TrimSpace(raw), []byte("null"))
+}
--- /dev/null
+++ b/internal/config/sections.go
@@ -0,0 +1,121 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"maps"
+	"slices"
+)
+
+// KnownSection reports whether the document has a section s.
+func KnownSection(s Section) bool { return slices.Contains(Sections, s) }
+
+// WithMembers returns a copy of d in which the named members of a section are
+// as in contents. Only those members are decoded, so that a small edit of a
+// large section is cheap.
+func (d Document) WithMembers(s Section, contents Contents, names []string) (Document, []Problem) {
+	var problems []Problem
+	switch s {
+	case SectionModels:
+		d.Models, problems = withEntries(d.Models, s, contents, names)
+	case SectionWorkspaces:
+		d.Workspaces, problems = withEntries(d.Workspaces, s, contents, names)
+	case SectionRates:
+		d.Rates, problems = withEntries(d.Rates, s, contents, names)
+	case SectionRoutes:
+		d.Routes, problems = withEntries(d.Routes, s, contents, names)
+	case SectionObjectives:
+		d.Objectives, problems = withEntries(d.Objectives, s, contents, names)
+	case SectionZones:
+		d.Zones, problems = withEntries(d.Zones, s, contents, names)
+	case SectionLimits:
+		d.Limits, problems = decodeLimits(contents)
+	default:
+		problems = []Problem{{Path: string(s), Reason: "is not a section of the document"}}
+	}
+	return d, problems
+}
+
+func withEntries[T any](entries map[string]T, s Section, contents Contents, names []string) (map[string]T, []Problem) {
+	entries = maps.Clone(entries)
+	if entries == nil {
+		entries = make(map[string]T, len(names))
+	}
+	var problems []Problem
+	for _, name := range names {
+		raw, present := contents[name]
+		if !present {
+			delete(entries, name)
+			continue
+		}
+		var entry T
+		if err := decodeStrict(raw, &entry); err != nil {
+			problems = append(problems, decodeProblem(string(s)+"."+name, err))
+			continue
+		}
+		entries[name] = entry
+	}
+	return entries, problems
+}
+
+func decodeLimits(contents Contents) (Limits, []Problem) {
+	var limits Limits
+	if err := decodeStrict(contents.JSON(), &limits); err != nil {
+		return limits, []Problem{decodeProblem(string(SectionLimits), err)}
+	}
+	return limits, nil
+}
+
+func decodeStrict(raw json.RawMessage, v any) error {
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		return err
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("has more than one JSON value")
+	}
+	return nil
+}
+
+func decodeProblem(path string, err error) Problem {
+	var typeErr *json.UnmarshalTypeError
+	if errors.As(err, &typeErr) {
+		if typeErr.Field != "" {
+			path += "." + typeErr.Field
+		}
+		return Problem{Path: path, Reason: "is a " + typeErr.Value + ", want a " + typeErr.Type.String()}
+	}
+	return Problem{Path: path, Reason: err.Error()}
+}
+
+// Split encodes d as raw sections.
+func (d Document) Split() (map[Section]Contents, error) {
+	data, err := json.Marshal(d)
+	if err != nil {
+		return nil, err
+	}
+	return SplitJSON(data)
+}
+
+// SplitJSON decodes a document into raw sections.
+func SplitJSON(data []byte) (map[Section]Contents, error) {
+	var raw map[Section]json.RawMessage
+	if err := json.Unmarshal(data, &raw); err != nil {
+		return nil, err
+	}
+	sections := make(map[Section]Contents, len(raw))
+	for s, value := range raw {
+		if isNull(value) {
+			continue
+		}
+		contents, err := ParseContents(value)
+		if err != nil {
+			return nil, &InvalidError{[]Problem{{Path: string(s), Reason: err.Error()}}}
+		}
+		sections[s] = contents
+	}
+	return sections, nil
+}
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 
 	"github.com/cuminwing/cuminwing/internal/keys"
@@ -61,7 +63,8 @@
 
 func (v *validator) checkWorkspaces() {
 	owners := make(map[keys.Hash]string)
-	for name, w := range v.doc.Workspaces {
+	for _, name := range sortedNames(v.doc.Workspaces) {
+		w := v.doc.Workspaces[name]
 		path := "workspaces." + name
 		if w.Weight <= 0 {
 			v.addf(path+".weight", "must be positive")
@@ -117,7 +120,8 @@
 func (v *validator) checkRoutes() {
 	models := make(map[string]string)
 	prefixes := make(map[string]string)
-	for name, r := range v.doc.Routes {
+	for _, name := range sortedNames(v.doc.Routes) {
+		r := v.doc.Routes[name]
 		path := "routes." + name
 		v.checkRouteFields(path, r)
 		switch r.Kind {
@@ -216,6 +220,12 @@
 	}
 }
 
+// sortedNames fixes the order in which duplicates are found, because every
+// voter must give the same answer to an edit.
+func sortedNames[T any](m map[string]T) []string {
+	return slices.Sorted(maps.Keys(m))
+}
+
 func oneOf(s string, allowed ...string) bool {
 	for _, a := range allowed {
 		if s == a {
--- /dev/null
+++ b/internal/control/keyset/part_test.go
@@ -0,0 +1,41 @@
+package keyset
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cuminwing/cuminwing/internal/keys"
+)
+
+// Guards against a withdrawal being lost by a snapshot and a restore.
+func TestWithdrawalsSurviveSnapshot(t *testing.T) {
+	withdrawn := keys.NewWithdrawn()
+	p := NewPart(func(h []keys.Hash) { withdrawn.Add(h...) })
+	h := keys.Sum("cw-leaked")
+	p.Apply(1, time.Time{}, EncodeWithdrawal([]keys.Hash{h}))
+	data, err := p.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := NewPart(func([]keys.Hash) {})
+	if err := restored.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	if !restored.Contains(h) || !withdrawn.Contains(h) {
+		t.Fatal("the withdrawn key is unknown after a restore")
+	}
+}
+
+func FuzzDecodeWithdrawal(f *testing.F) {
+	f.Add(EncodeWithdrawal([]keys.Hash{keys.Sum("a")}))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		hashes, err := DecodeWithdrawal(data)
+		if err != nil {
+			return
+		}
+		again, err := DecodeWithdrawal(EncodeWithdrawal(hashes))
+		if err != nil || len(again) != len(hashes) {
+			t.Fatalf("%d hashes became %d: %v", len(hashes), len(again), err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/control/sections/part_test.go
@@ -0,0 +1,170 @@
+package sections
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cuminwing/cuminwing/internal/config"
+	configv1 "github.com/cuminwing/cuminwing/proto/config/v1"
+	"google.golang.org/protobuf/proto"
+)
+
+var applied = time.UnixMilli(1_700_000_000_000)
+
+func newPart() *Part { return NewPart(func() {}) }
+
+func testDocument(workspaces int) config.Document {
+	d := config.Document{
+		Models:     map[string]config.Model{"gutachter": {ServingVersion: "v1"}},
+		Workspaces: map[string]config.Workspace{},
+		Rates:      map[string]config.Rate{},
+		Routes:     map[string]config.Route{"grade": {Kind: config.KindModel, Model: "gutachter"}},
+		Zones:      map[string]config.Zone{"muc-a": {Region: "oberbayern", VMSlots: 3}},
+	}
+	for i := range workspaces {
+		name := fmt.Sprintf("workspace-%04d", i)
+		d.Workspaces[name] = config.Workspace{Keys: []config.Key{{ID: "k1", SHA256: fmt.Sprintf("%064x", i+1)}}}
+		d.Rates[name] = config.Rate{RateTokensPerSecond: 1000, BurstTokens: 5000}
+	}
+	return d
+}
+
+func firstEdit(t testing.TB, workspaces int) *configv1.Edit {
+	t.Helper()
+	edit, err := FirstEdit("first", testDocument(workspaces))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return edit
+}
+
+func rateEdit(id string, base uint64, workspace string, rate int) *configv1.Edit {
+	patch := fmt.Sprintf(`{%q:{"rate_tokens_per_second":%d}}`, workspace, rate)
+	return &configv1.Edit{Id: id, Sections: []*configv1.SectionEdit{{Section: "rates", BaseRevision: base, Patch: []byte(patch)}}}
+}
+
+func apply(t testing.TB, p *Part, index uint64, edit *configv1.Edit) *configv1.EditResult {
+	t.Helper()
+	body, err := proto.Marshal(edit)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var result configv1.EditResult
+	if err := proto.Unmarshal(p.Apply(index, applied, body), &result); err != nil {
+		t.Fatal(err)
+	}
+	return &result
+}
+
+func wantOutcome(t testing.TB, got *configv1.EditResult, want configv1.Outcome) {
+	t.Helper()
+	if got.GetOutcome() != want {
+		t.Fatalf("outcome %v, want %v: %v", got.GetOutcome(), want, got)
+	}
+}
+
+// Guards against two operators overwriting each other: of two edits with the
+// same base exactly one is accepted, and the other learns which one.
+func TestRacingEditsHaveOneWinner(t *testing.T) {
+	p := newPart()
+	wantOutcome(t, apply(t, p, 5, firstEdit(t, 2)), configv1.Outcome_OUTCOME_ACCEPTED)
+	wantOutcome(t, apply(t, p, 6, rateEdit("a", 5, "workspace-0000", 10)), configv1.Outcome_OUTCOME_ACCEPTED)
+	lost := apply(t, p, 7, rateEdit("b", 5, "workspace-0001", 20))
+	wantOutcome(t, lost, configv1.Outcome_OUTCOME_CONFLICT)
+	if c := lost.GetConflicts(); len(c) != 1 || c[0].GetRevision() != 6 || c[0].GetEditId() != "a" {
+		t.Fatalf("conflict names %v, want revision 6 of edit a", c)
+	}
+	if got := p.State().Document.Rates["workspace-0001"].RateTokensPerSecond; got != 1000 {
+		t.Fatalf("the losing edit changed the rate to %v", got)
+	}
+}
+
+// Guards against a resend being executed twice or answered differently, also
+// after a snapshot and a restore.
+func TestResendGetsStoredAnswer(t *testing.T) {
+	p := newPart()
+	apply(t, p, 5, firstEdit(t, 2))
+	won := apply(t, p, 6, rateEdit("a", 5, "workspace-0000", 10))
+	lost := apply(t, p, 7, rateEdit("b", 5, "workspace-0000", 20))
+	data, err := p.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := newPart()
+	if err := restored.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	for _, part := range []*Part{p, restored} {
+		if again := apply(t, part, 8, rateEdit("a", 5, "workspace-0000", 10)); !proto.Equal(again, won) {
+			t.Fatalf("resend of the accepted edit answered %v, want %v", again, won)
+		}
+		if again := apply(t, part, 9, rateEdit("b", 5, "workspace-0000", 20)); !proto.Equal(again, lost) {
+			t.Fatalf("resend of the refused edit answered %v, want %v", again, lost)
+		}
+		wantOutcome(t, apply(t, part, 10, rateEdit("a", 6, "workspace-0000", 30)), configv1.Outcome_OUTCOME_ID_REUSED)
+		if part.State().Revision != 6 {
+			t.Fatalf("a resend moved the revision to %d", part.State().Revision)
+		}
+	}
+}
+
+// Guards against an edit that leaves the sections contradicting each other.
+func TestMergedDocumentMustValidate(t *testing.T) {
+	p := newPart()
+	apply(t, p, 5, firstEdit(t, 2))
+	edit := &configv1.Edit{Id: "drop", Sections: []*configv1.SectionEdit{
+		{Section: "models", BaseRevision: 5, Patch: []byte(`{"gutachter":null}`)},
+		{Section: "rates", BaseRevision: 5, Patch: []byte(`{"workspace-0001":null}`)},
+	}}
+	result := apply(t, p, 6, edit)
+	wantOutcome(t, result, configv1.Outcome_OUTCOME_INVALID)
+	if len(result.GetProblems()) != 2 {
+		t.Fatalf("problems %v, want one for each section", result.GetProblems())
+	}
+	if p.State().Revision != 5 {
+		t.Fatal("a refused edit changed the document")
+	}
+}
+
+// Guards against the memory of results growing without bound, and against
+// losing an answer before the stated number of edits.
+func TestResultsAreKeptForStatedNumber(t *testing.T) {
+	p := newPart()
+	apply(t, p, 1, firstEdit(t, 1))
+	for i := range uint64(KeptResults) {
+		apply(t, p, i+2, rateEdit(fmt.Sprint("e", i), i+1, "workspace-0000", int(i)+1))
+	}
+	if len(p.results) != KeptResults || len(p.order) != KeptResults {
+		t.Fatalf("%d results are kept, want %d", len(p.results), KeptResults)
+	}
+	before := p.State().Revision
+	apply(t, p, before+1, rateEdit("e0", 1, "workspace-0000", 1))
+	if p.State().Revision != before {
+		t.Fatal("the oldest kept result was forgotten")
+	}
+}
+
+// Guards against a VM applying changes over a gap in the history.
+func TestSinceCoversHistoryOrReportsGap(t *testing.T) {
+	p := newPart()
+	apply(t, p, 5, firstEdit(t, 1))
+	old := p.State()
+	for i := range uint64(MaxHistory + 10) {
+		apply(t, p, i+6, rateEdit(fmt.Sprint("e", i), i+5, "workspace-0000", int(i)+1))
+	}
+	s := p.State()
+	if _, ok := s.Since(5); ok {
+		t.Fatal("the history claims to reach back to a change that it dropped")
+	}
+	if _, ok := s.Since(s.Revision + 1); ok {
+		t.Fatal("the history claims to know a revision of the future")
+	}
+	changes, ok := s.Since(s.Revision - 3)
+	if !ok || len(changes) != 3 {
+		t.Fatalf("%d changes (covered: %v), want 3", len(changes), ok)
+	}
+	if _, err := old.Apply(changes[0]); err == nil {
+		t.Fatal("a change was applied over a gap")
+	}
+}
