Distribute the configuration and withdrawn keys between VMs

VMs move only to higher revisions. They learn of one by a hint, by the revision of the members and by a check every 2 s, and pull changes from zone peers first, or the whole document when the history does not reach back. A data folder keeps the last configuration and the withdrawn keys. A withdrawal holds at once where it is accepted, is pushed to all known VMs, compared by digest and proposed until the log has committed it. Keys of workspaces that refuse unconfirmed keys need contact with a voter that has a quorum.

A hint may arrive before the named VM has the revision in force; the pull repeats its rounds over the sources until it has, because a single round left the accepting VM behind in the test of the operators' answer.

--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -26,6 +26,10 @@
 	DefaultClaimRetentionSeconds    = 24 * 3600
 )
 
+// MinKeyLeaseMS is the shortest lease of keys: VMs renew their contact with the
+// control VMs every 2 s, some of them through another VM of the zone.
+const MinKeyLeaseMS = 6000
+
 // WithDefaults returns a copy of d in which every unset optional field has its
 // default.
 func (d Document) WithDefaults() Document {
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -72,6 +72,9 @@
 		if !oneOf(w.OnUnconfirmedKeys, UnconfirmedServe, UnconfirmedRefuse) {
 			v.addf(path+".on_unconfirmed_keys", "is %q, want %q or %q", w.OnUnconfirmedKeys, UnconfirmedServe, UnconfirmedRefuse)
 		}
+		if w.KeyLeaseMS < MinKeyLeaseMS {
+			v.addf(path+".key_lease_ms", "must be at least %d", MinKeyLeaseMS)
+		}
 		for i, k := range w.Keys {
 			v.checkKey(fmt.Sprintf("%s.keys[%d]", path, i), name, k, owners)
 		}
--- /dev/null
+++ b/internal/daemon/admin.go
@@ -0,0 +1,225 @@
+package daemon
+
+import (
+	"context"
+	"sort"
+
+	"github.com/twitchtv/twirp"
+	"go.uber.org/zap"
+
+	"github.com/cuminwing/cuminwing/internal/control/keyset"
+	"github.com/cuminwing/cuminwing/internal/keys"
+	"github.com/cuminwing/cuminwing/internal/target"
+	adminv1 "github.com/cuminwing/cuminwing/proto/admin/v1"
+	configv1 "github.com/cuminwing/cuminwing/proto/config/v1"
+	statusv1 "github.com/cuminwing/cuminwing/proto/status/v1"
+)
+
+// startAdmin serves operators' tools.
+func (n *Node) startAdmin() error {
+	service := adminv1.NewAdminServiceServer(adminServer{n})
+	n.adminMux.Handle(service.PathPrefix(), service)
+	return nil
+}
+
+// adminServer implements adminv1.AdminService.
+type adminServer struct{ node *Node }
+
+// GetConfig implements adminv1.AdminService.
+func (s adminServer) GetConfig(_ context.Context, req *adminv1.GetConfigRequest) (*adminv1.GetConfigResponse, error) {
+	state := s.node.distribution.state.Load()
+	return &adminv1.GetConfigResponse{Document: state.EncodeDocument(req.GetSections()...)}, nil
+}
+
+// ApplyConfig implements adminv1.AdminService.
+func (s adminServer) ApplyConfig(ctx context.Context, req *adminv1.ApplyConfigRequest) (*adminv1.ApplyConfigResponse, error) {
+	if req.GetEdit().GetId() == "" {
+		return nil, twirp.RequiredArgumentError("edit.id")
+	}
+	return s.node.distribution.applyEdit(ctx, req.GetEdit())
+}
+
+// History implements adminv1.AdminService.
+func (s adminServer) History(_ context.Context, req *adminv1.HistoryRequest) (*adminv1.HistoryResponse, error) {
+	history := s.node.distribution.state.Load().History()
+	count := len(history)
+	if limit := int(req.GetLimit()); limit > 0 {
+		count = min(count, limit)
+	}
+	changes := make([]*configv1.Change, 0, count)
+	for i := range count {
+		changes = append(changes, history[len(history)-1-i])
+	}
+	return &adminv1.HistoryResponse{Changes: changes}, nil
+}
+
+// WithdrawKeys implements adminv1.AdminService.
+func (s adminServer) WithdrawKeys(ctx context.Context, req *adminv1.WithdrawKeysRequest) (*adminv1.WithdrawKeysResponse, error) {
+	hashes, err := keyset.FromBytes(req.GetHashes())
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("hashes", err.Error())
+	}
+	if len(hashes) == 0 {
+		return nil, twirp.RequiredArgumentError("hashes")
+	}
+	return s.node.withdrawals.withdraw(ctx, hashes), nil
+}
+
+// ListKeys implements adminv1.AdminService.
+func (s adminServer) ListKeys(_ context.Context, req *adminv1.ListKeysRequest) (*adminv1.ListKeysResponse, error) {
+	response := &adminv1.ListKeysResponse{Withdrawn: uint32(len(s.node.withdrawn.All()))}
+	snapshot := s.node.Snapshot()
+	if snapshot == nil {
+		return response, nil
+	}
+	for name, workspace := range snapshot.Document.Workspaces {
+		if req.GetWorkspace() != "" && req.GetWorkspace() != name {
+			continue
+		}
+		for _, k := range workspace.Keys {
+			hash, err := keys.ParseHash(k.SHA256)
+			if err != nil {
+				continue
+			}
+			response.Keys = append(response.Keys, &adminv1.Key{
+				Workspace: name, Id: k.ID, Sha256: hash[:], Withdrawn: s.node.withdrawn.Contains(hash),
+			})
+		}
+	}
+	sort.Slice(response.Keys, func(i, j int) bool {
+		a, b := response.Keys[i], response.Keys[j]
+		return a.GetWorkspace() < b.GetWorkspace() || a.GetWorkspace() == b.GetWorkspace() && a.GetId() < b.GetId()
+	})
+	return response, nil
+}
+
+// Status implements adminv1.AdminService.
+func (s adminServer) Status(ctx context.Context, _ *adminv1.StatusRequest) (*adminv1.StatusResponse, error) {
+	own, err := statusServer(s).Get(ctx, &statusv1.GetRequest{})
+	if err != nil {
+		return nil, err
+	}
+	response := &adminv1.StatusResponse{
+		Leader:   own.GetLeader(),
+		Revision: own.GetConfigRevision(),
+		Targets:  s.countTargets(),
+	}
+	self := peer{s.node.settings.VM, own.GetZone(), own.GetRegion(), s.node.settings.PeerAddress, s.node.settings.Voter()}
+	response.Vms = append(s.askVMs(ctx), vmStatus(self, own))
+	sort.Slice(response.Vms, func(i, j int) bool { return response.Vms[i].GetName() < response.Vms[j].GetName() })
+	return response, nil
+}
+
+func (s adminServer) askVMs(ctx context.Context) []*adminv1.VM {
+	ctx, cancel := context.WithTimeout(ctx, hintTimeout)
+	defer cancel()
+	answers := make(chan *adminv1.VM, len(s.node.peers())+maxParallelCalls)
+	s.node.broadcast(ctx, func(ctx context.Context, p peer) {
+		client := statusv1.NewStatusServiceProtobufClient(s.node.peerURL(p.address), s.node.peerClient)
+		answer, err := client.Get(ctx, &statusv1.GetRequest{})
+		if err != nil {
+			answer = nil
+		}
+		answers <- vmStatus(p, answer)
+	})
+	close(answers)
+	var vms []*adminv1.VM
+	for vm := range answers {
+		vms = append(vms, vm)
+	}
+	return vms
+}
+
+// vmStatus joins what is known of a VM with its answer, nil for none.
+func vmStatus(p peer, answer *statusv1.GetResponse) *adminv1.VM {
+	vm := &adminv1.VM{Name: p.vm, Zone: p.zone, Region: p.region, Voter: p.voter, PeerAddress: p.address}
+	if answer == nil {
+		return vm
+	}
+	vm.Reached = true
+	vm.Zone = answer.GetZone()
+	vm.Region = answer.GetRegion()
+	vm.Revision = answer.GetConfigRevision()
+	vm.KeyDigest = answer.GetKeyDigest()
+	vm.Leader = answer.GetLeader()
+	return vm
+}
+
+// States of a target in the operators' views.
+const (
+	targetLive     = "live"
+	targetSilent   = "silent"
+	targetLeaving  = "leaving"
+	targetDraining = "draining"
+	targetLoading  = "loading"
+)
+
+func (s adminServer) targetState(t *target.Target) string {
+	switch {
+	case t.Draining:
+		return targetDraining
+	case t.Leaving:
+		return targetLeaving
+	case t.Loading:
+		return targetLoading
+	case !t.Usable(s.node.clock()):
+		return targetSilent
+	}
+	return targetLive
+}
+
+func (s adminServer) countTargets() map[string]uint32 {
+	counts := make(map[string]uint32)
+	for _, t := range s.node.registry.All() {
+		counts[s.targetState(t)]++
+	}
+	return counts
+}
+
+// ListTargets implements adminv1.AdminService.
+func (s adminServer) ListTargets(context.Context, *adminv1.ListTargetsRequest) (*adminv1.ListTargetsResponse, error) {
+	response := &adminv1.ListTargetsResponse{}
+	for _, t := range s.node.registry.All() {
+		model := t.Model
+		if model == "" {
+			model = t.Service
+		}
+		response.Targets = append(response.Targets, &adminv1.Target{
+			Id: t.ID, Incarnation: t.Incarnation, Kind: string(t.Kind), Address: t.URL, Zone: t.Zone,
+			Model: model, Version: t.Version, State: s.targetState(t),
+		})
+	}
+	return response, nil
+}
+
+// DrainTarget implements adminv1.AdminService. A drain lives in memory: a VM
+// that restarts does not know of it.
+func (s adminServer) DrainTarget(ctx context.Context, req *adminv1.DrainTargetRequest) (*adminv1.DrainTargetResponse, error) {
+	if _, known := s.node.registry.Get(req.GetId()); !known && !req.GetForwarded() {
+		return nil, twirp.NotFoundError("this VM knows no target " + req.GetId())
+	}
+	s.node.registry.Drain(req.GetId(), !req.GetResume())
+	s.node.logger.Info("target drained by an operator", zap.String("target", req.GetId()), zap.Bool("resume", req.GetResume()))
+	if req.GetForwarded() {
+		return &adminv1.DrainTargetResponse{}, nil
+	}
+	return &adminv1.DrainTargetResponse{Zones: s.forwardDrain(ctx, req)}, nil
+}
+
+func (s adminServer) forwardDrain(ctx context.Context, req *adminv1.DrainTargetRequest) []*adminv1.ZoneReach {
+	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
+	defer cancel()
+	addresses := make(map[string]string)
+	for _, m := range s.node.members() {
+		addresses[m.VM] = m.AdminAddress
+	}
+	forwarded := &adminv1.DrainTargetRequest{Id: req.GetId(), EditId: req.GetEditId(), Resume: req.GetResume(), Forwarded: true}
+	return s.node.poll(ctx, true, func(ctx context.Context, p peer) (string, bool) {
+		if addresses[p.vm] == "" {
+			return "", false
+		}
+		client := adminv1.NewAdminServiceProtobufClient(s.node.peerURL(addresses[p.vm]), s.node.peerClient)
+		_, err := client.DrainTarget(ctx, forwarded)
+		return "", err == nil
+	})
+}
--- /dev/null
+++ b/internal/daemon/cluster_test.go
@@ -0,0 +1,296 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cuminwing/cuminwing/internal/config"
+	"github.com/cuminwing/cuminwing/internal/control"
+	"github.com/cuminwing/cuminwing/internal/control/sections"
+	"github.com/cuminwing/cuminwing/internal/settings"
+	adminv1 "github.com/cuminwing/cuminwing/proto/admin/v1"
+	configv1 "github.com/cuminwing/cuminwing/proto/config/v1"
+)
+
+// testLog stands in for the control log: one process-wide sequence of commands
+// that is applied to the parts of every voter.
+type testLog struct {
+	mu       sync.Mutex
+	entries  [][]byte
+	machines map[string]*control.Machine
+	cut      map[string]bool
+	// loseAnswers is the number of answers that get lost after the commit.
+	loseAnswers int
+}
+
+func newTestLog() *testLog {
+	return &testLog{machines: make(map[string]*control.Machine), cut: make(map[string]bool)}
+}
+
+// attach returns the log as seen from vm. A voter replays all commands.
+func (l *testLog) attach(vm string, voter bool, parts map[control.Kind]control.Part) control.Log {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if voter {
+		m := control.NewMachine(parts)
+		for i, e := range l.entries {
+			_, _ = m.Apply(uint64(i+1), e)
+		}
+		l.machines[vm] = m
+	}
+	return &vmLog{l, vm}
+}
+
+func (l *testLog) setCut(vm string, cut bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut[vm] = cut
+}
+
+type vmLog struct {
+	log *testLog
+	vm  string
+}
+
+const testLeader = "vm-1"
+
+func (v *vmLog) Propose(_ context.Context, kind control.Kind, body []byte) ([]byte, error) {
+	l := v.log
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cut[v.vm] {
+		return nil, control.ErrNotCommitted
+	}
+	command := control.EncodeCommand(kind, time.UnixMilli(0), body)
+	l.entries = append(l.entries, command)
+	var answer []byte
+	for _, m := range l.machines {
+		a, err := m.Apply(uint64(len(l.entries)), command)
+		if err != nil {
+			return nil, err
+		}
+		answer = a
+	}
+	if l.loseAnswers > 0 {
+		l.loseAnswers--
+		return nil, control.ErrUncertain
+	}
+	return answer, nil
+}
+
+func (v *vmLog) Barrier(context.Context) (uint64, error) {
+	v.log.mu.Lock()
+	defer v.log.mu.Unlock()
+	if v.log.cut[v.vm] {
+		return 0, errors.New("no quorum")
+	}
+	return uint64(len(v.log.entries)), nil
+}
+
+func (v *vmLog) Leader() (string, bool) { return testLeader, true }
+
+func (v *vmLog) HoldsLease() bool { return v.vm == testLeader }
+
+// testCluster runs VMs in one process. Without membership, a VM knows the
+// others through the list of voters.
+type testCluster struct {
+	t     testing.TB
+	log   *testLog
+	peers map[string]string
+	nodes map[string]*Node
+	// skew is added to the clocks of all VMs.
+	skew atomic.Int64
+
+	mu      sync.Mutex
+	blocked map[string]bool
+	conns   map[string][]net.Conn
+}
+
+func newTestCluster(t testing.TB, vms int) *testCluster {
+	t.Helper()
+	c := &testCluster{
+		t: t, log: newTestLog(), peers: make(map[string]string), nodes: make(map[string]*Node),
+		blocked: make(map[string]bool), conns: make(map[string][]net.Conn),
+	}
+	for i := range vms {
+		c.peers[vmName(i)] = testAddress(t)
+	}
+	t.Cleanup(func() {
+		for _, n := range c.nodes {
+			n.Close()
+		}
+	})
+	return c
+}
+
+func vmName(i int) string { return fmt.Sprint("vm-", i+1) }
+
+// start runs VM i in a zone. A VM that is no voter leaves itself out of the
+// list of voters.
+func (c *testCluster) start(i int, zone string, voter bool, change func(*settings.Settings)) *Node {
+	c.t.Helper()
+	vm := vmName(i)
+	s := settings.Settings{
+		VM: vm, Zone: zone, Region: "r", CallerAddress: testAddress(c.t), TargetAddress: testAddress(c.t),
+		PeerAddress: c.peers[vm], GossipAddress: testAddress(c.t), AdminAddress: testAddress(c.t),
+		Voters: make(map[string]string),
+	}
+	for name, address := range c.peers {
+		if name != vm || voter {
+			s.Voters[name] = address
+		}
+	}
+	if change != nil {
+		change(&s)
+	}
+	n, err := Start(s, Options{
+		Dial:  c.dialFrom(vm),
+		Clock: func() time.Time { return time.Now().Add(time.Duration(c.skew.Load())) },
+		Log: func(parts map[control.Kind]control.Part) control.Log {
+			return c.log.attach(vm, voter, parts)
+		},
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.nodes[vm] = n
+	return n
+}
+
+func (c *testCluster) dialFrom(vm string) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		other := ""
+		for name, a := range c.peers {
+			if a == address {
+				other = name
+			}
+		}
+		if c.blocked[vm] || c.blocked[other] {
+			return nil, errors.New("partitioned")
+		}
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err == nil {
+			c.conns[vm] = append(c.conns[vm], conn)
+			c.conns[other] = append(c.conns[other], conn)
+		}
+		return conn, err
+	}
+}
+
+// partition cuts a VM off from all others and from the log, or heals it.
+func (c *testCluster) partition(i int, cut bool) {
+	vm := vmName(i)
+	c.log.setCut(vm, cut)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.blocked[vm] = cut
+	for _, conn := range c.conns[vm] {
+		_ = conn.Close()
+	}
+	c.conns[vm] = nil
+}
+
+func testAddress(t testing.TB) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func adminOf(n *Node) adminv1.AdminService {
+	return adminv1.NewAdminServiceProtobufClient("http://"+n.settings.AdminAddress, http.DefaultClient)
+}
+
+const (
+	testKey      = "cw-test-key"
+	testWaitMost = 20 * time.Second
+)
+
+func testDocument(unconfirmed string) config.Document {
+	return config.Document{
+		Models: map[string]config.Model{"gutachter": {ServingVersion: "v1"}},
+		Workspaces: map[string]config.Workspace{"yards": {
+			Keys:              []config.Key{{ID: "k1", SHA256: hashOf(testKey)}},
+			OnUnconfirmedKeys: unconfirmed,
+			KeyLeaseMS:        config.MinKeyLeaseMS,
+		}},
+		Rates:  map[string]config.Rate{"yards": {RateTokensPerSecond: 10, BurstTokens: 50}},
+		Routes: map[string]config.Route{"grade": {Kind: config.KindModel, Model: "gutachter"}},
+		Zones:  map[string]config.Zone{"muc-a": {Region: "r", VMSlots: 3}, "nue-a": {Region: "r", VMSlots: 3}},
+	}
+}
+
+func applyFirst(t testing.TB, n *Node, d config.Document) *adminv1.ApplyConfigResponse {
+	t.Helper()
+	edit, err := sections.FirstEdit("first", d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return applyEdit(t, n, edit)
+}
+
+func applyEdit(t testing.TB, n *Node, edit *configv1.Edit) *adminv1.ApplyConfigResponse {
+	t.Helper()
+	response, err := adminOf(n).ApplyConfig(context.Background(), &adminv1.ApplyConfigRequest{Edit: edit})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response
+}
+
+func rateEdit(id string, base uint64, rate int) *configv1.Edit {
+	patch := fmt.Sprintf(`{"yards":{"rate_tokens_per_second":%d}}`, rate)
+	return &configv1.Edit{Id: id, Sections: []*configv1.SectionEdit{{Section: "rates", BaseRevision: base, Patch: []byte(patch)}}}
+}
+
+func wantAccepted(t testing.TB, r *adminv1.ApplyConfigResponse) uint64 {
+	t.Helper()
+	if r.GetResult().GetOutcome() != configv1.Outcome_OUTCOME_ACCEPTED {
+		t.Fatalf("edit was refused: %v", r.GetResult())
+	}
+	return r.GetResult().GetRevision()
+}
+
+func eventually(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(testWaitMost); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatal("never happened: " + what)
+}
+
+// callerStatus asks for the list of models with the test key, which needs a usable
+// key but no target.
+func callerStatus(n *Node) int {
+	r := httptest.NewRequest(http.MethodGet, "/v1/models", nil)
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	w := httptest.NewRecorder()
+	n.callers.Handler().ServeHTTP(w, r)
+	return w.Code
+}
+
+func encoded(t testing.TB, d *configv1.Document) string {
+	t.Helper()
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
--- /dev/null
+++ b/internal/daemon/distribution_pull.go
@@ -0,0 +1,215 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cuminwing/cuminwing/internal/control/sections"
+	configv1 "github.com/cuminwing/cuminwing/proto/config/v1"
+)
+
+const (
+	pullTimeout = 2 * time.Second
+	// pullStagger is the wait for one source before the next is asked too. It
+	// is above a round trip between regions, 60 ms.
+	pullStagger = 150 * time.Millisecond
+	// pullPause separates two rounds over the sources.
+	pullPause = 50 * time.Millisecond
+	// maxPullChanges is the number of changes above which the whole document
+	// is sent instead: at about 200 bytes a change it is then the smaller
+	// answer for the deployments of today.
+	maxPullChanges = 256
+	// maxPullSources bounds the VMs that one hint makes a VM ask.
+	maxPullSources = 6
+	// maxNotifyWait bounds how long a Notify call may wait.
+	maxNotifyWait = 5 * time.Second
+)
+
+// follow pulls when a hint or the revision of a member shows that a higher
+// revision exists.
+func (d *distribution) follow(ctx context.Context) {
+	ticker := time.NewTicker(memberScanInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case h := <-d.hints:
+			d.pull(ctx, h)
+		case <-ticker.C:
+			if h, newer := d.newestMember(); newer {
+				d.pull(ctx, h)
+			}
+		}
+	}
+}
+
+func (d *distribution) newestMember() (hint, bool) {
+	newest := hint{revision: d.revision()}
+	for _, m := range d.node.members() {
+		if m.ConfigRevision > newest.revision {
+			newest = hint{m.ConfigRevision, m.PeerAddress}
+		}
+	}
+	return newest, newest.address != ""
+}
+
+// pull asks other VMs until the revision of the hint is in force or the time
+// is over. A hint may come before the VM that it names has the revision.
+func (d *distribution) pull(ctx context.Context, h hint) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	for ctx.Err() == nil && d.revision() < h.revision {
+		d.pullRound(ctx, h)
+		pause, stop := context.WithTimeout(ctx, pullPause)
+		d.awaitRevision(pause, h.revision)
+		stop()
+	}
+}
+
+// pullRound asks zone peers, then the VM that the hint names, then others. It
+// does not wait for a source that stays silent: the next one is asked after
+// pullStagger, or at once when the former has answered.
+func (d *distribution) pullRound(ctx context.Context, h hint) {
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	// Runs before Wait, so that silent sources do not delay the return.
+	defer cancel()
+	answered := make(chan struct{}, maxPullSources)
+	for _, address := range d.pullSources(h.address) {
+		calls.Go(func() {
+			if _, err := d.pullFrom(ctx, address, d.revision()); err != nil {
+				d.node.logger.Debug("pull failed", zap.String("peer", address), zap.Error(err))
+			}
+			answered <- struct{}{}
+		})
+		select {
+		case <-answered:
+		case <-time.After(pullStagger):
+		}
+		if d.revision() >= h.revision {
+			return
+		}
+	}
+}
+
+// pullSources lists up to maxPullSources peer addresses: two zone peers, the
+// hinted VM, then others at random.
+func (d *distribution) pullSources(hinted string) []string {
+	const zonePeers = 2
+	var zone, others []string
+	for _, p := range d.node.peers() {
+		switch {
+		case p.address == hinted:
+		case p.zone == d.node.settings.Zone:
+			zone = append(zone, p.address)
+		default:
+			others = append(others, p.address)
+		}
+	}
+	shuffle(zone)
+	shuffle(others)
+	sources := zone[:min(len(zone), zonePeers)]
+	if hinted != "" {
+		sources = append(sources[:len(sources):len(sources)], hinted)
+	}
+	sources = append(sources, others...)
+	return sources[:min(len(sources), maxPullSources)]
+}
+
+func shuffle(s []string) {
+	rand.Shuffle(len(s), func(i, j int) { s[i], s[j] = s[j], s[i] })
+}
+
+// pullFrom brings this VM to the revision of another. When a change does not
+// follow the present state, it asks once more for the whole document.
+func (d *distribution) pullFrom(ctx context.Context, address string, since uint64) (*configv1.PullResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	client := configv1.NewConfigServiceProtobufClient(d.node.peerURL(address), d.node.peerClient)
+	answer, err := client.Pull(ctx, &configv1.PullRequest{Since: since})
+	if err != nil {
+		return nil, err
+	}
+	err = d.applyPull(answer)
+	var gap *sections.GapError
+	if errors.As(err, &gap) && since > 0 {
+		return d.pullFrom(ctx, address, 0)
+	}
+	return answer, err
+}
+
+func (d *distribution) applyPull(answer *configv1.PullResponse) error {
+	if answer.GetDocument() != nil {
+		state, err := sections.DecodeDocument(answer.GetDocument())
+		if err != nil {
+			return err
+		}
+		d.adopt(state)
+		return nil
+	}
+	state := d.state.Load()
+	for _, change := range answer.GetChanges() {
+		if change.GetRevision() <= state.Revision {
+			// Another pull brought this change in the meantime.
+			continue
+		}
+		next, err := state.Apply(change)
+		if err != nil {
+			return err
+		}
+		state = next
+	}
+	d.adopt(state)
+	return nil
+}
+
+// configServer implements configv1.ConfigService.
+type configServer struct{ d *distribution }
+
+// Pull implements configv1.ConfigService.
+func (s configServer) Pull(_ context.Context, req *configv1.PullRequest) (*configv1.PullResponse, error) {
+	state := s.d.state.Load()
+	answer := &configv1.PullResponse{
+		Revision:  state.Revision,
+		KeyDigest: s.d.node.withdrawn.Digest(),
+	}
+	if age, ok := s.d.lease.age(s.d.node.clock()); ok {
+		answer.HadControlContact = true
+		answer.ControlContactAgeMs = uint64(age.Milliseconds())
+	}
+	if state.Revision <= req.GetSince() {
+		return answer, nil
+	}
+	changes, covered := state.Since(req.GetSince())
+	if covered && req.GetSince() > 0 && len(changes) <= maxPullChanges {
+		answer.Changes = changes
+	} else {
+		answer.Document = state.EncodeDocument()
+	}
+	return answer, nil
+}
+
+// Notify implements configv1.ConfigService.
+func (s configServer) Notify(ctx context.Context, req *configv1.NotifyRequest) (*configv1.NotifyResponse, error) {
+	if req.GetRevision() > s.d.revision() {
+		select {
+		case s.d.hints <- hint{req.GetRevision(), req.GetAddress()}:
+		default:
+		}
+	}
+	wait := min(time.Duration(min(req.GetWaitMs(), uint64(maxNotifyWait.Milliseconds())))*time.Millisecond, maxNotifyWait)
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	return &configv1.NotifyResponse{
+		Vm:       s.d.node.settings.VM,
+		Zone:     s.d.node.settings.Zone,
+		Revision: s.d.awaitRevision(ctx, req.GetRevision()),
+	}, nil
+}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -39,6 +39,8 @@
 	// Document replaces the configuration in force while the control log
 	// has none.
 	Document *config.Document
+	// Log replaces the control log; it gets the replicated parts of the VM.
+	Log func(parts map[control.Kind]control.Part) control.Log
 }
 
 // Node is one running VM.
@@ -54,6 +56,9 @@
 	registry  *target.Registry
 	callers   *callerhttp.Server
 
+	distribution *distribution
+	withdrawals  *withdrawals
+
 	// parts make up the replicated state; duties add theirs before
 	// startControl runs. log is nil on a VM that cannot reach any voter yet.
 	parts map[control.Kind]control.Part
@@ -75,10 +80,16 @@
 func Start(s settings.Settings, options Options) (*Node, error) {
 	n := newNode(s, options)
 	steps := []func() error{
+		n.startWithdrawals,
+		n.startConfig,
 		n.startTargets,
 		n.startServing,
 		n.startStatus,
+		n.startAdmin,
 		n.startPeers,
+		n.startReplacedLog,
+		n.startDistribution,
+		n.startKeyDuties,
 		n.startCallers,
 	}
 	for _, step := range steps {
@@ -117,7 +128,7 @@
 		cancel:      cancel,
 	}
 	if options.Document != nil {
-		n.snapshot.Store(config.NewSnapshot(*options.Document, 1))
+		n.snapshot.Store(config.NewSnapshot(*options.Document, 0))
 	}
 	return n
 }
--- /dev/null
+++ b/internal/daemon/reach.go
@@ -0,0 +1,135 @@
+package daemon
+
+import (
+	"context"
+	"sort"
+	"sync"
+
+	adminv1 "github.com/cuminwing/cuminwing/proto/admin/v1"
+)
+
+// maxParallelCalls bounds the calls to other VMs that one broadcast runs at
+// the same time.
+const maxParallelCalls = 64
+
+// peer is another VM as the target of a call.
+type peer struct {
+	vm      string
+	zone    string
+	region  string
+	address string
+	voter   bool
+}
+
+// peers returns the other VMs: the live members, and the voters of the
+// settings, whose zones are unknown until they are members.
+func (n *Node) peers() []peer {
+	var peers []peer
+	known := map[string]bool{n.settings.VM: true}
+	for _, m := range n.members() {
+		if known[m.VM] {
+			continue
+		}
+		known[m.VM] = true
+		_, voter := n.settings.Voters[m.VM]
+		peers = append(peers, peer{m.VM, m.Zone, m.Region, m.PeerAddress, voter || m.Voter})
+	}
+	for vm, address := range n.settings.Voters {
+		if !known[vm] {
+			peers = append(peers, peer{vm: vm, address: address, voter: true})
+		}
+	}
+	return peers
+}
+
+// peerURL returns the base URL of a VM's peer address.
+func (n *Node) peerURL(address string) string {
+	if n.settings.PeerTLS != nil {
+		return "https://" + address
+	}
+	return "http://" + address
+}
+
+// zoneTally counts by zone which VMs confirmed.
+type zoneTally struct {
+	mu    sync.Mutex
+	zones map[string]*adminv1.ZoneReach
+}
+
+// unknownZone stands for voters that have never answered nor been members.
+const unknownZone = "unknown"
+
+// newTally lists the zones of the document, so that a zone without any known
+// VM shows as not reached.
+func (n *Node) newTally() *zoneTally {
+	t := &zoneTally{zones: make(map[string]*adminv1.ZoneReach)}
+	if snapshot := n.Snapshot(); snapshot != nil {
+		for zone := range snapshot.Document.Zones {
+			t.zone(zone)
+		}
+	}
+	return t
+}
+
+func (t *zoneTally) zone(name string) *adminv1.ZoneReach {
+	if name == "" {
+		name = unknownZone
+	}
+	if t.zones[name] == nil {
+		t.zones[name] = &adminv1.ZoneReach{Zone: name}
+	}
+	return t.zones[name]
+}
+
+func (t *zoneTally) count(zone string, confirmed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	z := t.zone(zone)
+	z.Known++
+	if confirmed {
+		z.Confirmed++
+	}
+}
+
+// reach returns the zones sorted by name.
+func (t *zoneTally) reach() []*adminv1.ZoneReach {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]*adminv1.ZoneReach, 0, len(t.zones))
+	for _, z := range t.zones {
+		z.Complete = z.Known > 0 && z.Confirmed == z.Known
+		out = append(out, z)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].GetZone() < out[j].GetZone() })
+	return out
+}
+
+// broadcast calls f for every other VM, some at a time, and returns when all
+// calls have ended.
+func (n *Node) broadcast(ctx context.Context, f func(ctx context.Context, p peer)) {
+	var group sync.WaitGroup
+	slots := make(chan struct{}, maxParallelCalls)
+	for _, p := range n.peers() {
+		slots <- struct{}{}
+		group.Go(func() {
+			defer func() { <-slots }()
+			f(ctx, p)
+		})
+	}
+	group.Wait()
+}
+
+// poll asks every other VM to confirm and counts the answers by zone. Confirm
+// returns the zone that the VM states, and whether it confirmed.
+func (n *Node) poll(ctx context.Context, self bool, confirm func(ctx context.Context, p peer) (string, bool)) []*adminv1.ZoneReach {
+	tally := n.newTally()
+	tally.count(n.settings.Zone, self)
+	n.broadcast(ctx, func(ctx context.Context, p peer) {
+		zone, ok := confirm(ctx, p)
+		if zone == "" {
+			zone = p.zone
+		}
+		tally.count(zone, ok)
+	})
+	return tally.reach()
+}
--- a/internal/daemon/serving.go
+++ b/internal/daemon/serving.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"time"
 
 	"github.com/cuminwing/cuminwing/internal/adapter/callerhttp"
 	"github.com/cuminwing/cuminwing/internal/adapter/targethttp"
@@ -47,11 +48,19 @@
 	return n.listen(n.settings.CallerAddress, server)
 }
 
-// keyCheck refuses withdrawn keys.
+// keyCheck refuses withdrawn keys, and unconfirmed keys where the workspace
+// asks for it.
 type keyCheck struct{ node *Node }
 
-func (k keyCheck) Usable(h keys.Hash, _ config.Workspace) bool {
-	return !k.node.withdrawn.Contains(h)
+func (k keyCheck) Usable(h keys.Hash, w config.Workspace) bool {
+	if k.node.withdrawn.Contains(h) {
+		return false
+	}
+	if w.OnUnconfirmedKeys != config.UnconfirmedRefuse {
+		return true
+	}
+	age, ok := k.node.distribution.lease.age(k.node.clock())
+	return ok && age <= time.Duration(w.KeyLeaseMS)*time.Millisecond
 }
 
 func (k keyCheck) Watch(ctx context.Context, h keys.Hash) (context.Context, context.CancelFunc) {
--- /dev/null
+++ b/internal/daemon/withdrawals.go
@@ -0,0 +1,304 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/twitchtv/twirp"
+	"go.uber.org/zap"
+
+	"github.com/cuminwing/cuminwing/internal/adapter/statefile"
+	"github.com/cuminwing/cuminwing/internal/control"
+	"github.com/cuminwing/cuminwing/internal/control/keyset"
+	"github.com/cuminwing/cuminwing/internal/keys"
+	adminv1 "github.com/cuminwing/cuminwing/proto/admin/v1"
+	keysv1 "github.com/cuminwing/cuminwing/proto/keys/v1"
+)
+
+const (
+	keysFile = "withdrawn-keys.state"
+	// pushTimeout bounds the wait for confirmations of a withdrawal.
+	pushTimeout = 2 * time.Second
+	// keySyncInterval is how often the digests of the members are compared.
+	keySyncInterval = time.Second
+	// keySyncPeers bounds the syncs of one round: digests in member messages
+	// lag behind, so that most differences after a push are not real.
+	keySyncPeers = 3
+	// proposeKeysInterval is how often withdrawals are proposed again until
+	// the log has committed them.
+	proposeKeysInterval = time.Second
+	// voterProposeRounds is how many rounds a voter leaves a withdrawal to the
+	// VM that accepted it.
+	voterProposeRounds = 2
+)
+
+// withdrawals spreads withdrawn keys. The set itself is Node.withdrawn.
+type withdrawals struct {
+	node *Node
+	part *keyset.Part
+
+	// file guards the file of the data folder.
+	file  sync.Mutex
+	saved uint64
+
+	mu sync.Mutex
+	// pending holds the withdrawals that this VM accepted and that are not
+	// committed yet.
+	pending map[keys.Hash]struct{}
+	// seen counts the rounds in which this voter saw a key uncommitted.
+	seen map[keys.Hash]int
+}
+
+// startWithdrawals registers the replicated part and loads the keys that the
+// data folder holds.
+func (n *Node) startWithdrawals() error {
+	w := &withdrawals{node: n, pending: make(map[keys.Hash]struct{}), seen: make(map[keys.Hash]int)}
+	w.part = keyset.NewPart(func(h []keys.Hash) { n.withdrawn.Add(h...) })
+	n.parts[control.KindKeys] = w.part
+	n.withdrawals = w
+	service := keysv1.NewKeyServiceServer(keyServer{w})
+	n.peerMux.Handle(service.PathPrefix(), service)
+	return w.load()
+}
+
+// startKeyDuties starts the anti-entropy of withdrawn keys.
+func (n *Node) startKeyDuties() error {
+	w := n.withdrawals
+	n.duty(func(ctx context.Context) {
+		every(ctx, keySyncInterval, func() { w.syncMembers(ctx) })
+	})
+	n.duty(func(ctx context.Context) {
+		every(ctx, proposeKeysInterval, func() { w.proposeAgain(ctx) })
+	})
+	return nil
+}
+
+// load reads the keys of the data folder. Unlike a configuration, a refused
+// file stops the start: serving without it could accept a withdrawn key.
+func (w *withdrawals) load() error {
+	if w.node.settings.DataFolder == "" {
+		return nil
+	}
+	data, err := statefile.Read(w.path())
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	hashes, err := keyset.DecodeWithdrawal(data)
+	if err != nil {
+		return &statefile.CorruptError{File: w.path(), Reason: err.Error()}
+	}
+	w.node.withdrawn.Add(hashes...)
+	w.saved = w.node.withdrawn.Digest()
+	return nil
+}
+
+func (w *withdrawals) path() string {
+	return filepath.Join(w.node.settings.DataFolder, keysFile)
+}
+
+// add withdraws keys here at once and keeps them in the data folder.
+func (w *withdrawals) add(hashes []keys.Hash) error {
+	if added := w.node.withdrawn.Add(hashes...); len(added) > 0 {
+		w.node.logger.Info("keys withdrawn", zap.Int("count", len(added)))
+	}
+	return w.save()
+}
+
+// save writes the file if the set has changed.
+func (w *withdrawals) save() error {
+	if w.node.settings.DataFolder == "" {
+		return nil
+	}
+	w.file.Lock()
+	defer w.file.Unlock()
+	digest := w.node.withdrawn.Digest()
+	if digest == w.saved {
+		return nil
+	}
+	if err := statefile.Write(w.path(), keyset.EncodeWithdrawal(w.node.withdrawn.All())); err != nil {
+		w.node.logger.Error("withdrawn keys not written", zap.Error(err))
+		return err
+	}
+	w.saved = digest
+	return nil
+}
+
+// withdraw puts a withdrawal in force here, pushes it to all known VMs and
+// proposes it to the log. It answers after a bounded time; what is not
+// confirmed by then goes on in the background.
+func (w *withdrawals) withdraw(ctx context.Context, hashes []keys.Hash) *adminv1.WithdrawKeysResponse {
+	saved := w.add(hashes) == nil
+	w.mu.Lock()
+	for _, h := range hashes {
+		w.pending[h] = struct{}{}
+	}
+	w.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
+	defer cancel()
+	var proposal sync.WaitGroup
+	committed := false
+	proposal.Go(func() { committed = w.commit(ctx, hashes) })
+	response := &adminv1.WithdrawKeysResponse{Zones: w.push(ctx, saved, hashes)}
+	proposal.Wait()
+	response.Committed = committed
+	return response
+}
+
+func (w *withdrawals) push(ctx context.Context, self bool, hashes []keys.Hash) []*adminv1.ZoneReach {
+	request := &keysv1.PushRequest{Hashes: keyset.ToBytes(hashes)}
+	return w.node.poll(ctx, self, func(ctx context.Context, p peer) (string, bool) {
+		answer, err := w.client(p).Push(ctx, request)
+		if err != nil {
+			w.node.logger.Debug("push of withdrawn keys failed", zap.String("vm", p.vm), zap.Error(err))
+		}
+		return answer.GetZone(), err == nil
+	})
+}
+
+func (w *withdrawals) client(p peer) keysv1.KeyService {
+	return keysv1.NewKeyServiceProtobufClient(w.node.peerURL(p.address), w.node.peerClient)
+}
+
+// commit proposes keys once and reports whether the log has committed them.
+func (w *withdrawals) commit(ctx context.Context, hashes []keys.Hash) bool {
+	if _, err := w.node.propose(ctx, control.KindKeys, keyset.EncodeWithdrawal(hashes)); err != nil {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, h := range hashes {
+		delete(w.pending, h)
+		delete(w.seen, h)
+	}
+	return true
+}
+
+// proposeAgain proposes what is not committed yet. Voters also propose what
+// they only heard of, because the VM that accepted it may be gone.
+func (w *withdrawals) proposeAgain(ctx context.Context) {
+	// Keys may also have come from the log, which does not wait for the file.
+	_ = w.save()
+	due := w.uncommitted()
+	if len(due) > 0 {
+		w.commit(ctx, due)
+	}
+}
+
+func (w *withdrawals) uncommitted() []keys.Hash {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var due []keys.Hash
+	for h := range w.pending {
+		due = append(due, h)
+	}
+	if !w.node.settings.Voter() {
+		return due
+	}
+	for _, h := range w.node.withdrawn.All() {
+		if w.part.Contains(h) {
+			delete(w.seen, h)
+			continue
+		}
+		if _, own := w.pending[h]; own {
+			continue
+		}
+		w.seen[h]++
+		if w.seen[h] > voterProposeRounds {
+			due = append(due, h)
+		}
+	}
+	return due
+}
+
+// syncMembers compares the set with members whose digest differs.
+func (w *withdrawals) syncMembers(ctx context.Context) {
+	own := w.node.withdrawn.Digest()
+	synced := 0
+	for _, m := range w.node.members() {
+		if m.VM == w.node.settings.VM || m.KeyDigest == own || synced == keySyncPeers {
+			continue
+		}
+		synced++
+		if err := w.sync(ctx, peer{vm: m.VM, address: m.PeerAddress}); err != nil {
+			w.node.logger.Debug("sync of withdrawn keys failed", zap.String("vm", m.VM), zap.Error(err))
+		}
+	}
+}
+
+// sync makes the sets of this VM and p equal.
+func (w *withdrawals) sync(ctx context.Context, p peer) error {
+	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
+	defer cancel()
+	digests := w.node.withdrawn.BucketDigests()
+	answer, err := w.client(p).Sync(ctx, &keysv1.SyncRequest{Digests: digests[:]})
+	if err != nil {
+		return err
+	}
+	theirs, err := keyset.FromBytes(answer.GetHashes())
+	if err != nil {
+		return err
+	}
+	missing := missingFrom(theirs, w.node.withdrawn.InBuckets(answer.GetDiffering()))
+	if err := w.add(theirs); err != nil {
+		return err
+	}
+	if len(missing) == 0 {
+		return nil
+	}
+	_, err = w.client(p).Push(ctx, &keysv1.PushRequest{Hashes: keyset.ToBytes(missing)})
+	return err
+}
+
+// missingFrom returns the keys of ours that are not among theirs.
+func missingFrom(theirs, ours []keys.Hash) []keys.Hash {
+	known := make(map[keys.Hash]bool, len(theirs))
+	for _, h := range theirs {
+		known[h] = true
+	}
+	var missing []keys.Hash
+	for _, h := range ours {
+		if !known[h] {
+			missing = append(missing, h)
+		}
+	}
+	return missing
+}
+
+// keyServer implements keysv1.KeyService.
+type keyServer struct{ w *withdrawals }
+
+// Push implements keysv1.KeyService. The answer confirms that the keys no
+// longer work here, also after a restart with the data folder.
+func (s keyServer) Push(_ context.Context, req *keysv1.PushRequest) (*keysv1.PushResponse, error) {
+	hashes, err := keyset.FromBytes(req.GetHashes())
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("hashes", err.Error())
+	}
+	if err := s.w.add(hashes); err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &keysv1.PushResponse{Vm: s.w.node.settings.VM, Zone: s.w.node.settings.Zone}, nil
+}
+
+// Sync implements keysv1.KeyService.
+func (s keyServer) Sync(_ context.Context, req *keysv1.SyncRequest) (*keysv1.SyncResponse, error) {
+	own := s.w.node.withdrawn.BucketDigests()
+	if len(req.GetDigests()) != len(own) {
+		return nil, twirp.InvalidArgumentError("digests", "must hold one digest for each first byte")
+	}
+	var differing []byte
+	for bucket, digest := range own {
+		if req.GetDigests()[bucket] != digest {
+			differing = append(differing, byte(bucket))
+		}
+	}
+	hashes := s.w.node.withdrawn.InBuckets(differing)
+	return &keysv1.SyncResponse{Differing: differing, Hashes: keyset.ToBytes(hashes)}, nil
+}
