--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -101,13 +101,14 @@
 
 func (v *vmLog) HoldsLease() bool { return v.vm == testLeader }
 
-// testCluster runs VMs in one process. Without membership, a VM knows the
-// others through the list of voters.
+// testCluster runs VMs in one process. The first VMs are voters.
 type testCluster struct {
-	t     testing.TB
-	log   *testLog
-	peers map[string]string
-	nodes map[string]*Node
+	t      testing.TB
+	log    *testLog
+	voters int
+	peers  map[string]string
+	gossip map[string]string
+	nodes  map[string]*Node
 	// skew is added to the clocks of all VMs.
 	skew atomic.Int64
 
@@ -116,14 +117,15 @@
 	conns   map[string][]net.Conn
 }
 
-func newTestCluster(t testing.TB, vms int) *testCluster {
+func newTestCluster(t testing.TB, vms, voters int) *testCluster {
 	t.Helper()
 	c := &testCluster{
-		t: t, log: newTestLog(), peers: make(map[string]string), nodes: make(map[string]*Node),
-		blocked: make(map[string]bool), conns: make(map[string][]net.Conn),
+		t: t, log: newTestLog(), voters: voters, peers: make(map[string]string), gossip: make(map[string]string),
+		nodes: make(map[string]*Node), blocked: make(map[string]bool), conns: make(map[string][]net.Conn),
 	}
 	for i := range vms {
 		c.peers[vmName(i)] = testAddress(t)
+		c.gossip[vmName(i)] = testAddress(t)
 	}
 	t.Cleanup(func() {
 		for _, n := range c.nodes {
@@ -135,38 +137,87 @@
 
 func vmName(i int) string { return fmt.Sprint("vm-", i+1) }
 
-// start runs VM i in a zone. A VM that is no voter leaves itself out of the
-// list of voters.
-func (c *testCluster) start(i int, zone string, voter bool, change func(*settings.Settings)) *Node {
-	c.t.Helper()
+func (c *testCluster) settings(i int, zone string) settings.Settings {
 	vm := vmName(i)
 	s := settings.Settings{
 		VM: vm, Zone: zone, Region: "r", CallerAddress: testAddress(c.t), TargetAddress: testAddress(c.t),
-		PeerAddress: c.peers[vm], GossipAddress: testAddress(c.t), AdminAddress: testAddress(c.t),
+		PeerAddress: c.peers[vm], GossipAddress: c.gossip[vm], AdminAddress: testAddress(c.t),
 		Voters: make(map[string]string),
 	}
-	for name, address := range c.peers {
-		if name != vm || voter {
-			s.Voters[name] = address
+	for j := range c.voters {
+		s.Voters[vmName(j)] = c.peers[vmName(j)]
+	}
+	for name, address := range c.gossip {
+		if name != vm {
+			s.Join = append(s.Join, address)
 		}
 	}
+	return s
+}
+
+// start runs VM i in a zone.
+func (c *testCluster) start(i int, zone string, change func(*settings.Settings)) *Node {
+	c.t.Helper()
+	s := c.settings(i, zone)
 	if change != nil {
 		change(&s)
 	}
-	n, err := Start(s, Options{
-		Dial:  c.dialFrom(vm),
-		Clock: func() time.Time { return time.Now().Add(time.Duration(c.skew.Load())) },
-		Log: func(parts map[control.Kind]control.Part) control.Log {
-			return c.log.attach(vm, voter, parts)
-		},
-	})
+	options := Options{
+		Dial:         c.dialFrom(s.VM),
+		Clock:        func() time.Time { return time.Now().Add(time.Duration(c.skew.Load())) },
+		ListenPacket: func(address string) (net.PacketConn, error) { return c.listenPacket(s.VM, address) },
+	}
+	if c.log != nil {
+		options.Log = func(parts map[control.Kind]control.Part) control.Log {
+			return c.log.attach(s.VM, s.Voter(), parts)
+		}
+	}
+	n, err := Start(s, options)
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	c.nodes[vm] = n
+	c.nodes[s.VM] = n
 	return n
 }
 
+// awaitMembers returns once every VM sees all others.
+func (c *testCluster) awaitMembers() {
+	c.t.Helper()
+	eventually(c.t, "all VMs are members", func() bool {
+		for _, n := range c.nodes {
+			if len(n.members()) != len(c.nodes) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// cutPacketConn drops the packets of VMs that are partitioned.
+type cutPacketConn struct {
+	net.PacketConn
+	cluster *testCluster
+	vm      string
+}
+
+func (c *testCluster) listenPacket(vm, address string) (net.PacketConn, error) {
+	conn, err := net.ListenPacket("udp", address)
+	return cutPacketConn{conn, c, vm}, err
+}
+
+func (p cutPacketConn) WriteTo(data []byte, to net.Addr) (int, error) {
+	p.cluster.mu.Lock()
+	cut := p.cluster.blocked[p.vm]
+	for name, address := range p.cluster.gossip {
+		cut = cut || p.cluster.blocked[name] && address == to.String()
+	}
+	p.cluster.mu.Unlock()
+	if cut {
+		return len(data), nil
+	}
+	return p.PacketConn.WriteTo(data, to)
+}
+
 func (c *testCluster) dialFrom(vm string) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c.mu.Lock()
--- a/internal/daemon/distribution.go
+++ b/internal/daemon/distribution.go
@@ -220,11 +220,3 @@
 		d.node.logger.Error("configuration file not written", zap.Error(err))
 	}
 }
-
-// startReplacedLog uses the log of the options, if there is one.
-func (n *Node) startReplacedLog() error {
-	if n.options.Log != nil {
-		n.log = n.options.Log(n.parts)
-	}
-	return nil
-}
--- a/internal/daemon/distribution_test.go
+++ b/internal/daemon/distribution_test.go
@@ -27,10 +27,11 @@
 // Guards against an answer that claims a zone which does not have the edit, and
 // against a zone that stays behind after the partition.
 func TestAnswerNamesZonesNotReached(t *testing.T) {
-	c := newTestCluster(t, 3)
-	first := c.start(0, "muc-a", true, nil)
-	c.start(1, "muc-a", false, nil)
-	away := c.start(2, "nue-a", false, nil)
+	c := newTestCluster(t, 3, 1)
+	first := c.start(0, "muc-a", nil)
+	c.start(1, "muc-a", nil)
+	away := c.start(2, "nue-a", nil)
+	c.awaitMembers()
 	r := applyFirst(t, first, testDocument(""))
 	base := wantAccepted(t, r)
 	for _, z := range []string{"muc-a", "nue-a"} {
@@ -54,9 +55,9 @@
 // Guards against a resend after a lost answer being executed again, and against
 // two racing operators both winning.
 func TestRacingAndResentEdits(t *testing.T) {
-	c := newTestCluster(t, 2)
-	a := c.start(0, "muc-a", true, nil)
-	b := c.start(1, "muc-a", true, nil)
+	c := newTestCluster(t, 2, 2)
+	a := c.start(0, "muc-a", nil)
+	b := c.start(1, "muc-a", nil)
 	base := wantAccepted(t, applyFirst(t, a, testDocument("")))
 	c.log.mu.Lock()
 	c.log.loseAnswers = 1
@@ -93,18 +94,18 @@
 // Guards against a VM with a data folder that cannot serve until a voter
 // answers, and against a damaged file being served.
 func TestStartWhileNoVoterAnswers(t *testing.T) {
-	c := newTestCluster(t, 2)
-	voter := c.start(0, "muc-a", true, nil)
+	c := newTestCluster(t, 2, 1)
+	voter := c.start(0, "muc-a", nil)
 	folder := t.TempDir()
 	withDisk := func(s *settings.Settings) { s.DataFolder = folder }
-	n := c.start(1, "muc-a", false, withDisk)
+	n := c.start(1, "muc-a", withDisk)
 	revision := wantAccepted(t, applyFirst(t, voter, testDocument("")))
 	file := filepath.Join(folder, configFile)
 	eventually(t, "file is written", func() bool { _, err := os.Stat(file); return err == nil })
 	want := encoded(t, n.distribution.state.Load().EncodeDocument())
 	n.Close()
 	c.partition(1, true)
-	n = c.start(1, "muc-a", false, withDisk)
+	n = c.start(1, "muc-a", withDisk)
 	if n.Snapshot() == nil || n.Snapshot().Revision != revision || callerStatus(n) != 200 {
 		t.Fatal("the restarted VM does not serve from its file")
 	}
@@ -120,7 +121,7 @@
 	if err := os.WriteFile(file, data, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if n = c.start(1, "muc-a", false, withDisk); n.Snapshot() != nil {
+	if n = c.start(1, "muc-a", withDisk); n.Snapshot() != nil {
 		t.Fatal("a damaged file was put in force")
 	}
 }
@@ -129,12 +130,12 @@
 // the history does not reach back to its revision, and after a replay of
 // hundreds of edits.
 func TestCatchUpAfterHundredsOfEdits(t *testing.T) {
-	c := newTestCluster(t, 3)
-	voter := c.start(0, "muc-a", true, nil)
-	behind := c.start(1, "nue-a", false, nil)
+	c := newTestCluster(t, 3, 2)
+	voter := c.start(0, "muc-a", nil)
+	behind := c.start(2, "nue-a", nil)
 	base := wantAccepted(t, applyFirst(t, voter, testDocument("")))
 	eventually(t, "first document", func() bool { return behind.distribution.revision() == base })
-	c.partition(1, true)
+	c.partition(2, true)
 	for i := range 300 {
 		body := rateEdit(vmName(i), base+uint64(i), i+1)
 		if _, err := voter.distribution.applyWithoutWait(t, body); err != nil {
@@ -144,10 +145,10 @@
 	if _, ok := voter.distribution.part.State().Since(base); !ok {
 		t.Fatal("the history does not reach back")
 	}
-	c.partition(1, false)
+	c.partition(2, false)
 	last := base + 300
 	eventually(t, "catch-up by the whole document", func() bool { return behind.distribution.revision() == last })
-	replayed := c.start(2, "muc-a", true, nil)
+	replayed := c.start(1, "muc-a", nil)
 	eventually(t, "replay", func() bool { return replayed.distribution.revision() == last })
 	want := encoded(t, voter.distribution.state.Load().EncodeDocument())
 	for _, n := range []*Node{behind, replayed} {
@@ -168,8 +169,8 @@
 
 // Guards against a configuration that moves backwards.
 func TestAdoptRefusesLowerRevision(t *testing.T) {
-	c := newTestCluster(t, 1)
-	n := c.start(0, "muc-a", true, nil)
+	c := newTestCluster(t, 1, 1)
+	n := c.start(0, "muc-a", nil)
 	wantAccepted(t, applyFirst(t, n, testDocument("")))
 	old := n.distribution.state.Load()
 	wantAccepted(t, applyEdit(t, n, rateEdit("next", old.Revision, 99)))
@@ -190,14 +191,14 @@
 		t.Fatal(err)
 	}
 	withDocument := func(s *settings.Settings) { s.DocumentFile = file }
-	c := newTestCluster(t, 2)
-	a := c.start(0, "muc-a", true, withDocument)
-	b := c.start(1, "muc-a", true, withDocument)
+	c := newTestCluster(t, 2, 2)
+	a := c.start(0, "muc-a", withDocument)
+	b := c.start(1, "muc-a", withDocument)
 	eventually(t, "first document", func() bool { return a.Snapshot() != nil && b.Snapshot() != nil })
 	revision := a.Snapshot().Revision
 	wantAccepted(t, applyEdit(t, a, rateEdit("later", revision, 77)))
 	b.Close()
-	b = c.start(1, "muc-a", true, withDocument)
+	b = c.start(1, "muc-a", withDocument)
 	eventually(t, "restart", func() bool { return b.distribution.revision() > revision })
 	if got := b.Snapshot().Document.Rates["yards"].RateTokensPerSecond; got != 77 {
 		t.Fatalf("rate is %v after the restart, want that of the later edit", got)
--- a/internal/daemon/inforce.go
+++ b/internal/daemon/inforce.go
@@ -101,7 +101,7 @@
 func (d *distribution) awaitOwn(ctx context.Context, revision uint64) bool {
 	ctx, cancel := context.WithTimeout(ctx, ownWait)
 	defer cancel()
-	if d.revision() < revision && !d.node.settings.Voter() {
+	if d.revision() < revision && !d.node.followsLog() {
 		select {
 		case d.hints <- hint{revision, d.leaderAddress()}:
 		default:
--- a/internal/daemon/keylease.go
+++ b/internal/daemon/keylease.go
@@ -48,7 +48,7 @@
 
 // check asks for news and renews the contact with the control VMs.
 func (d *distribution) check(ctx context.Context) {
-	if d.node.settings.Voter() {
+	if d.node.followsLog() {
 		d.checkQuorum(ctx)
 		return
 	}
@@ -58,6 +58,16 @@
 	d.checkVoters(ctx)
 }
 
+// followsLog reports whether the replicated parts of this VM follow the log.
+func (n *Node) followsLog() bool {
+	if n.replica == nil {
+		return n.settings.Voter()
+	}
+	status := n.replica.Status()
+	_, member := status.Members.Find(status.ID)
+	return member && status.Failure == nil
+}
+
 // checkQuorum renews the contact of a voter. A voter without a quorum is no
 // control VM: withdrawals may be committed that it does not know of.
 func (d *distribution) checkQuorum(ctx context.Context) {
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -16,6 +16,8 @@
 	"go.uber.org/zap"
 
 	"github.com/cuminwing/cuminwing/internal/adapter/callerhttp"
+	"github.com/cuminwing/cuminwing/internal/adapter/gossip"
+	"github.com/cuminwing/cuminwing/internal/adapter/replica"
 	"github.com/cuminwing/cuminwing/internal/adapter/targethttp"
 	"github.com/cuminwing/cuminwing/internal/config"
 	"github.com/cuminwing/cuminwing/internal/control"
@@ -54,6 +56,7 @@
 	snapshot  atomic.Pointer[config.Snapshot]
 	withdrawn *keys.Withdrawn
 	registry  *target.Registry
+	gossip    *gossip.Conn
 	callers   *callerhttp.Server
 
 	distribution *distribution
@@ -63,6 +66,8 @@
 	// startControl runs. log is nil on a VM that cannot reach any voter yet.
 	parts map[control.Kind]control.Part
 	log   control.Log
+	// replica is nil on a VM without a disk.
+	replica *replica.Replica
 
 	// peerMux serves other VMs, adminMux serves operators' tools.
 	peerMux    *http.ServeMux
@@ -82,12 +87,13 @@
 	steps := []func() error{
 		n.startWithdrawals,
 		n.startConfig,
+		n.startMembership,
 		n.startTargets,
 		n.startServing,
+		n.startControl,
 		n.startStatus,
 		n.startAdmin,
 		n.startPeers,
-		n.startReplacedLog,
 		n.startDistribution,
 		n.startKeyDuties,
 		n.startCallers,
@@ -127,6 +133,11 @@
 		ctx:         ctx,
 		cancel:      cancel,
 	}
+	n.peerClient = &http.Client{Transport: &http.Transport{
+		DialContext:         options.Dial,
+		IdleConnTimeout:     peerIdleTimeout,
+		MaxIdleConnsPerHost: maxIdlePeerConns,
+	}}
 	if options.Document != nil {
 		n.snapshot.Store(config.NewSnapshot(*options.Document, 0))
 	}
@@ -138,7 +149,7 @@
 
 // members returns the live VMs, this one included.
 func (n *Node) members() []membership.Member {
-	return []membership.Member{n.self()}
+	return n.gossip.Members()
 }
 
 // self describes this VM.
@@ -210,7 +221,9 @@
 func (n *Node) Shutdown(ctx context.Context) error {
 	n.draining.Store(true)
 	n.logger.Info("VM is shutting down", zap.Int64("running_requests", n.callers.Active()))
+	n.leaveMembership()
 	err := n.waitIdle(ctx)
+	n.leaveControl()
 	n.Close()
 	return err
 }
--- a/internal/daemon/reach.go
+++ b/internal/daemon/reach.go
@@ -42,14 +42,6 @@
 	return peers
 }
 
-// peerURL returns the base URL of a VM's peer address.
-func (n *Node) peerURL(address string) string {
-	if n.settings.PeerTLS != nil {
-		return "https://" + address
-	}
-	return "http://" + address
-}
-
 // zoneTally counts by zone which VMs confirmed.
 type zoneTally struct {
 	mu    sync.Mutex
--- a/internal/daemon/withdrawals.go
+++ b/internal/daemon/withdrawals.go
@@ -198,7 +198,7 @@
 	for h := range w.pending {
 		due = append(due, h)
 	}
-	if !w.node.settings.Voter() {
+	if !w.node.followsLog() {
 		return due
 	}
 	for _, h := range w.node.withdrawn.All() {
--- a/internal/daemon/withdrawals_test.go
+++ b/internal/daemon/withdrawals_test.go
@@ -30,12 +30,13 @@
 // after a restart, and everywhere once the zone is back, although a later
 // configuration lists the key again.
 func TestWithdrawalInZoneCutOffFromLog(t *testing.T) {
-	c := newTestCluster(t, 3)
-	home := c.start(0, "muc-a", true, nil)
-	c.start(1, "muc-a", true, nil)
+	c := newTestCluster(t, 3, 2)
+	home := c.start(0, "muc-a", nil)
+	c.start(1, "muc-a", nil)
 	folder := t.TempDir()
 	withDisk := func(s *settings.Settings) { s.DataFolder = folder }
-	away := c.start(2, "nue-a", false, withDisk)
+	away := c.start(2, "nue-a", withDisk)
+	c.awaitMembers()
 	base := wantAccepted(t, applyFirst(t, home, testDocument("")))
 	c.partition(2, true)
 	r := withdraw(t, away, testKey)
@@ -46,7 +47,7 @@
 		t.Fatal("the withdrawal is not in force in exactly the zone that was reached")
 	}
 	away.Close()
-	away = c.start(2, "nue-a", false, withDisk)
+	away = c.start(2, "nue-a", withDisk)
 	if callerStatus(away) != http.StatusUnauthorized {
 		t.Fatal("the key works again after a restart")
 	}
@@ -69,9 +70,9 @@
 func TestUnconfirmedKeys(t *testing.T) {
 	for _, mode := range []string{config.UnconfirmedRefuse, config.UnconfirmedServe} {
 		t.Run(mode, func(t *testing.T) {
-			c := newTestCluster(t, 2)
-			voter := c.start(0, "muc-a", true, nil)
-			n := c.start(1, "nue-a", false, nil)
+			c := newTestCluster(t, 2, 1)
+			voter := c.start(0, "muc-a", nil)
+			n := c.start(1, "nue-a", nil)
 			wantAccepted(t, applyFirst(t, voter, testDocument(mode)))
 			confirmed := func() bool {
 				age, ok := n.distribution.lease.age(n.clock())
@@ -96,11 +97,12 @@
 
 // Guards against an open stream outliving its key.
 func TestWithdrawalEndsOpenStreams(t *testing.T) {
-	c := newTestCluster(t, 2)
-	voter := c.start(0, "muc-a", true, nil)
-	n := c.start(1, "nue-a", false, nil)
+	c := newTestCluster(t, 2, 1)
+	voter := c.start(0, "muc-a", nil)
+	n := c.start(1, "nue-a", nil)
 	ctx, cancel := keyCheck{n}.Watch(context.Background(), keys.Sum(testKey))
 	defer cancel()
+	c.awaitMembers()
 	withdraw(t, voter, testKey)
 	select {
 	case <-ctx.Done():
