--- a/cmd/cuminwingd/main.go
+++ b/cmd/cuminwingd/main.go
@@ -37,6 +37,12 @@
 		return exitRefused
 	}
 	if check {
+		// Not checked on every start: once the log holds a configuration, an
+		// old document must not keep a VM from serving.
+		if _, err := config.LoadFile(s.DocumentFile); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return exitRefused
+		}
 		fmt.Println("settings are valid")
 		return exitOK
 	}
@@ -52,12 +58,7 @@
 func serve(s settings.Settings, logger *zap.Logger) int {
 	stop, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer release()
-	document, err := config.LoadFile(s.DocumentFile)
-	if err != nil {
-		logger.Error("document refused", zap.Error(err))
-		return exitRefused
-	}
-	node, err := daemon.Start(s, daemon.Options{Logger: logger, Document: document})
+	node, err := daemon.Start(s, daemon.Options{Logger: logger})
 	if err != nil {
 		logger.Error("start failed", zap.Error(err))
 		return exitFailed
