Resume streams across engine faults and pass plain services through

Cause: a stream ended with its engine, a refusal was called "ran" after any attempt, and callers of services had no path at all.

Change: internal/stream checks request, incarnation and offset of each event, trims overlaps and drops duplicates. The request life cycle resumes on engines that can, restarts whole answers that cannot be resumed, and states the run state from what was dispatched. Engine connections over HTTP/1.1 carry one request; a shared HTTP/2 connection is replaced once a request on it stalls. Waiting callers get heartbeat comments, slow callers a write deadline. Whole answers keep tool calls, choices and usage. Services are reached by path prefix, without hop-by-hop fields and caller keys.

Conclusion: streams_test.go runs cut, stalled, silent, crossed and refused engine streams over HTTP/1.1 and HTTP/2; every answer is whole or ends with an error event.

--- a/internal/adapter/callerhttp/answer.go
+++ b/internal/adapter/callerhttp/answer.go
@@ -6,10 +6,17 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"sync"
+	"time"
 
+	"github.com/cuminwing/cuminwing/internal/config"
 	"github.com/cuminwing/cuminwing/internal/serving"
 )
 
+// writeTimeout bounds one write to a caller that does not read. Until then the
+// engine is held back by its connection, so that nothing piles up here.
+const writeTimeout = 10 * time.Second
+
 // apiError is the OpenAI error shape.
 type apiError struct {
 	Error apiErrorBody `json:"error"`
@@ -20,6 +27,8 @@
 	Type    string  `json:"type"`
 	Param   *string `json:"param"`
 	Code    string  `json:"code"`
+	// Run repeats the header, which a stream that has begun cannot send.
+	Run serving.RunState `json:"run"`
 }
 
 func errorShape(r *serving.Refusal) apiError {
@@ -32,162 +41,177 @@
 	case r.Status >= http.StatusInternalServerError:
 		kind = "server_error"
 	}
-	return apiError{apiErrorBody{Message: r.Message, Type: kind, Code: r.Code}}
+	return apiError{apiErrorBody{Message: r.Message, Type: kind, Code: r.Code, Run: r.Run}}
 }
 
 func writeRefusal(w http.ResponseWriter, r *serving.Refusal) {
-	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set(HeaderRun, string(r.Run))
 	if r.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(retryAfterSeconds(r.RetryAfter)))
 	}
+	if r.Body != nil {
+		w.Header().Set("Content-Type", r.ContentType)
+		w.WriteHeader(r.Status)
+		_, _ = w.Write(r.Body)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(r.Status)
 	_ = json.NewEncoder(w).Encode(errorShape(r))
 }
 
 // eventSink writes server-sent events. The response header is sent with the
-// first event, so that a refusal before it still has its own status.
+// first event, so that a refusal before it still has its own status. While
+// there are no events, comments show the caller that the connection lives.
 type eventSink struct {
 	w       http.ResponseWriter
-	flusher *http.ResponseController
-	started bool
+	control *http.ResponseController
+	// record is true if the events must be kept for resends.
+	record bool
+
+	mu       sync.Mutex
+	started  bool
+	passed   bool
+	ended    bool
+	buf      []byte
+	kept     []byte
+	interval time.Duration
+	beat     *time.Timer
+	last     time.Time
+}
+
+var errEnded = errors.New("the stream has ended")
+
+func newEventSink(w http.ResponseWriter, heartbeat time.Duration, record bool) *eventSink {
+	s := &eventSink{w: w, control: http.NewResponseController(w), record: record, interval: heartbeat, last: time.Now()}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.beat = time.AfterFunc(heartbeat, s.heartbeat)
+	return s
 }
 
+// Chunk implements serving.Sink.
 func (s *eventSink) Chunk(c serving.Chunk) error {
-	s.start()
-	buf := make([]byte, 0, len(c.Data)+len("data: \n\n"))
-	buf = append(buf, "data: "...)
-	buf = append(buf, c.Data...)
-	buf = append(buf, "\n\n"...)
-	if _, err := s.w.Write(buf); err != nil {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.passed = true
+	s.buf = append(s.buf[:0], "data: "...)
+	s.buf = append(s.buf, c.Data...)
+	s.buf = append(s.buf, "\n\n"...)
+	if s.record && len(s.kept) <= serving.MaxStoredAnswer {
+		s.kept = append(s.kept, s.buf...)
+	}
+	return s.write(s.buf)
+}
+
+// write sends data at once. The lock must be held, because the heartbeat
+// writes too.
+func (s *eventSink) write(data []byte) error {
+	if s.ended {
+		return errEnded
+	}
+	s.start("text/event-stream")
+	s.last = time.Now()
+	_ = s.control.SetWriteDeadline(s.last.Add(writeTimeout))
+	if _, err := s.w.Write(data); err != nil {
 		return err
 	}
-	return s.flusher.Flush()
+	return s.control.Flush()
 }
 
-func (s *eventSink) start() {
+func (s *eventSink) start(contentType string) {
 	if s.started {
 		return
 	}
 	s.started = true
-	s.w.Header().Set("Content-Type", "text/event-stream")
+	s.w.Header().Set("Content-Type", contentType)
 	s.w.Header().Set("Cache-Control", "no-cache")
 	s.w.WriteHeader(http.StatusOK)
 }
 
-func (s *Server) serveStream(ctx context.Context, w http.ResponseWriter, call *serving.Call) {
-	sink := &eventSink{w: w, flusher: http.NewResponseController(w)}
-	outcome := s.Serving.Complete(ctx, call, sink)
-	if outcome.Refusal == nil {
+func (s *eventSink) heartbeat() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
 		return
 	}
-	if !sink.started {
-		writeRefusal(w, outcome.Refusal)
+	if time.Since(s.last) >= s.interval && s.write([]byte(": waiting\n\n")) != nil {
 		return
 	}
-	// No [DONE] follows, so the caller cannot take the stream for complete.
-	data, _ := json.Marshal(errorShape(outcome.Refusal))
-	_ = sink.Chunk(serving.Chunk{Data: data})
+	s.beat.Reset(s.interval)
 }
 
-// wholeSink assembles one answer from the events of a stream.
-type wholeSink struct {
-	first json.RawMessage
-	text  []byte
-	stop  string
+// end stops the heartbeat; nothing is written after it.
+func (s *eventSink) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+	s.beat.Stop()
 }
 
-func (s *wholeSink) Chunk(c serving.Chunk) error {
-	if c.Done {
-		return nil
-	}
-	if s.first == nil {
-		s.first = append(json.RawMessage(nil), c.Data...)
-	}
-	s.text = append(s.text, c.Text...)
-	if c.Finish {
-		s.stop = finishReason(c.Data)
-	}
-	return nil
+// Restart implements serving.Sink.
+func (s *eventSink) Restart() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.passed
 }
 
-func finishReason(data []byte) string {
-	var event struct {
-		Choices []struct {
-			FinishReason string `json:"finish_reason"`
-		} `json:"choices"`
-	}
-	if json.Unmarshal(data, &event) != nil || len(event.Choices) == 0 {
-		return "stop"
-	}
-	return event.Choices[0].FinishReason
+// Stored implements serving.Sink.
+func (s *eventSink) Stored() serving.StoredAnswer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	body := append(s.kept[:len(s.kept):len(s.kept)], "data: [DONE]\n\n"...)
+	return serving.StoredAnswer{Status: http.StatusOK, ContentType: "text/event-stream", Body: body}
 }
 
-type wholeAnswer struct {
-	ID      string        `json:"id"`
-	Object  string        `json:"object"`
-	Created int64         `json:"created"`
-	Model   string        `json:"model"`
-	Choices []wholeChoice `json:"choices"`
-	Usage   wholeUsage    `json:"usage"`
-}
-
-type wholeChoice struct {
-	Index        int           `json:"index"`
-	Message      *wholeMessage `json:"message,omitempty"`
-	Text         *string       `json:"text,omitempty"`
-	FinishReason string        `json:"finish_reason"`
-}
-
-type wholeMessage struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
+// Replay implements serving.Sink.
+func (s *eventSink) Replay(answer serving.StoredAnswer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.started {
+		s.started = true
+		writeStored(s.w, answer)
+		return
+	}
+	// A heartbeat has begun the stream, so that only its events are left.
+	if answer.Status == http.StatusOK && !answer.Truncated {
+		_ = s.write(answer.Body)
+		return
+	}
+	data, _ := json.Marshal(errorShape(&serving.Refusal{Status: answer.Status, Code: "answer_not_stored", Message: "the request ran before; its answer cannot be sent again on this stream", Run: serving.Ran}))
+	_ = s.write(append(append([]byte("data: "), data...), "\n\n"...))
 }
 
-type wholeUsage struct {
-	PromptTokens     int `json:"prompt_tokens"`
-	CompletionTokens int `json:"completion_tokens"`
-	TotalTokens      int `json:"total_tokens"`
+func writeStored(w http.ResponseWriter, answer serving.StoredAnswer) {
+	for name, values := range serving.StoredHeader(answer) {
+		w.Header()[name] = values
+	}
+	w.Header().Set(HeaderRun, string(serving.Ran))
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body)
 }
 
-func (s *Server) serveWhole(ctx context.Context, w http.ResponseWriter, call *serving.Call) {
-	sink := &wholeSink{}
+func (s *Server) serveStream(ctx context.Context, w http.ResponseWriter, call *serving.Call) {
+	heartbeat := time.Duration(call.Snapshot.Document.Limits.HeartbeatMS) * time.Millisecond
+	sink := newEventSink(w, heartbeat, call.Route.Run == config.RunAtMostOnce)
+	defer sink.end()
 	outcome := s.Serving.Complete(ctx, call, sink)
-	if outcome.Refusal != nil {
-		writeRefusal(w, outcome.Refusal)
-		return
-	}
-	answer, err := sink.answer(call, outcome.Delivered)
-	if err != nil {
-		writeRefusal(w, &serving.Refusal{Status: http.StatusBadGateway, Code: "bad_answer", Message: err.Error(), Run: serving.Ran})
+	if outcome.Refusal == nil {
 		return
 	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(answer)
+	sink.refuse(outcome.Refusal)
 }
 
-func (s *wholeSink) answer(call *serving.Call, delivered int) (*wholeAnswer, error) {
-	if s.first == nil {
-		return nil, errors.New("the target sent no event")
-	}
-	var answer wholeAnswer
-	if err := json.Unmarshal(s.first, &answer); err != nil {
-		return nil, err
-	}
-	text := string(s.text)
-	choice := wholeChoice{FinishReason: s.stop}
-	if call.Path == "/v1/completions" {
-		answer.Object = "text_completion"
-		choice.Text = &text
-	} else {
-		answer.Object = "chat.completion"
-		choice.Message = &wholeMessage{Role: "assistant", Content: text}
-	}
-	answer.Choices = []wholeChoice{choice}
-	answer.Usage = wholeUsage{
-		PromptTokens:     call.PromptTokens,
-		CompletionTokens: delivered,
-		TotalTokens:      call.PromptTokens + delivered,
+// refuse ends the stream with an error. No [DONE] follows, so that the caller
+// cannot take the stream for complete.
+func (s *eventSink) refuse(r *serving.Refusal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.started {
+		s.started = true
+		writeRefusal(s.w, r)
+		return
 	}
-	return &answer, nil
+	data, _ := json.Marshal(errorShape(r))
+	_ = s.write(append(append([]byte("data: "), data...), "\n\n"...))
 }
--- /dev/null
+++ b/internal/adapter/callerhttp/auth.go
@@ -0,0 +1,43 @@
+package callerhttp
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/cuminwing/cuminwing/internal/config"
+	"github.com/cuminwing/cuminwing/internal/keys"
+	"github.com/cuminwing/cuminwing/internal/serving"
+)
+
+// identity is an authenticated caller; its workspace is empty on open routes.
+type identity struct {
+	workspace string
+	hash      keys.Hash
+	key       string
+}
+
+func (s *Server) authenticate(r *http.Request, snap *config.Snapshot) (identity, *serving.Refusal) {
+	key := bearer(r.Header)
+	if key == "" {
+		return identity{}, refuse(http.StatusUnauthorized, "missing_key", "an Authorization header with a bearer key is required")
+	}
+	hash := keys.Sum(key)
+	owner, ok := snap.Owner(hash)
+	if !ok || !s.Keys.Usable(hash, snap.Document.Workspaces[owner.Workspace]) {
+		return identity{}, refuse(http.StatusUnauthorized, "invalid_key", "the key is not valid")
+	}
+	return identity{workspace: owner.Workspace, hash: hash, key: key}, nil
+}
+
+func bearer(header http.Header) string {
+	scheme, key, _ := strings.Cut(header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") {
+		return ""
+	}
+	return strings.TrimSpace(key)
+}
+
+func allowed(route config.Route, workspace string) bool {
+	return len(route.Workspaces) == 0 || slices.Contains(route.Workspaces, workspace)
+}
--- /dev/null
+++ b/internal/adapter/callerhttp/decode.go
@@ -0,0 +1,244 @@
+package callerhttp
+
+import (
+	"bytes"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cuminwing/cuminwing/internal/config"
+	"github.com/cuminwing/cuminwing/internal/serving"
+)
+
+const (
+	// bodyReadTimeout bounds how long a caller may take to send a body that
+	// is read before dispatch.
+	bodyReadTimeout = 30 * time.Second
+	// maxChoices bounds the answers that one request asks for.
+	maxChoices = 128
+	// maxIdempotencyKeyBytes bounds what every voter keeps per request.
+	maxIdempotencyKeyBytes = 255
+	// bytesPerToken is the usual ratio for English and German text; the
+	// estimate is replaced by the actual count once the answer is known.
+	bytesPerToken = 4
+)
+
+// completionRequest is the part of a completion request that the router reads.
+type completionRequest struct {
+	Model               string          `json:"model"`
+	Stream              bool            `json:"stream"`
+	Messages            json.RawMessage `json:"messages"`
+	Prompt              json.RawMessage `json:"prompt"`
+	MaxTokens           int             `json:"max_tokens"`
+	MaxCompletionTokens int             `json:"max_completion_tokens"`
+	N                   int             `json:"n"`
+	Adapter             string          `json:"adapter"`
+	StreamOptions       struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+}
+
+var (
+	errBodyTooLarge = refuse(http.StatusRequestEntityTooLarge, "body_too_large", "the body exceeds the limit")
+	errKeyInBody    = refuse(http.StatusBadRequest, "key_in_body", "the body contains the caller key, which must not reach a target")
+)
+
+// readBody reads the whole body within the limits of size and time.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *serving.Refusal) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	// The server goes on reading to notice that the caller is gone.
+	_ = control.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, errBodyTooLarge
+	case err != nil:
+		return nil, refuse(http.StatusBadRequest, "bad_body", "the body could not be read")
+	}
+	return body, nil
+}
+
+func (s *Server) decode(w http.ResponseWriter, r *http.Request, snap *config.Snapshot, id identity) (*serving.Call, bool, *serving.Refusal) {
+	limits := snap.Document.Limits
+	body, refusal := readBody(w, r, limits.MaxBodyBytes)
+	if refusal != nil {
+		return nil, false, refusal
+	}
+	if bytes.Contains(body, []byte(id.key)) {
+		return nil, false, errKeyInBody
+	}
+	var req completionRequest
+	if err := json.Unmarshal(body, &req); err != nil {
+		return nil, false, refuse(http.StatusBadRequest, "bad_json", "the body is not a valid completion request")
+	}
+	routeName, route, ok := snap.ModelRoute(req.Model)
+	if !ok || !allowed(route, id.workspace) {
+		return nil, false, refuse(http.StatusNotFound, "model_not_found", "the model does not exist or is not open to this workspace")
+	}
+	if refusal := checkRequest(r, req); refusal != nil {
+		return nil, false, refusal
+	}
+	toEngine, err := engineBody(body)
+	if err != nil {
+		return nil, false, refuse(http.StatusBadRequest, "bad_json", "the body is not a JSON object")
+	}
+	call := s.newCall(r, snap, id, routeName, route)
+	call.Body = toEngine
+	call.BodyHash = hashRequest(r.Method, r.URL.Path, body)
+	call.Path = r.URL.Path
+	call.Model = req.Model
+	call.Version = snap.Document.Models[req.Model].ServingVersion
+	call.Adapter = req.Adapter
+	call.Prompt = promptText(req)
+	call.PromptTokens = (len(call.Prompt) + bytesPerToken - 1) / bytesPerToken
+	call.MaxTokens = maxTokens(req, limits)
+	call.Choices = choices(req)
+	call.IncludeUsage = req.StreamOptions.IncludeUsage
+	if call.PromptTokens > limits.MaxPromptTokens {
+		return nil, false, refuse(http.StatusBadRequest, "prompt_too_long", "the prompt exceeds the limit")
+	}
+	return call, req.Stream, nil
+}
+
+// newCall fills in what calls of models and services share.
+func (s *Server) newCall(r *http.Request, snap *config.Snapshot, id identity, routeName string, route config.Route) *serving.Call {
+	now := s.Clock()
+	return &serving.Call{
+		ID:             newRequestID(),
+		Workspace:      id.workspace,
+		KeyHash:        id.hash,
+		RouteName:      routeName,
+		Route:          route,
+		Snapshot:       snap,
+		IdempotencyKey: r.Header.Get(HeaderIdempotencyKey),
+		Received:       now,
+		Deadline:       now.Add(route.Timeout()),
+	}
+}
+
+func checkRequest(r *http.Request, req completionRequest) *serving.Refusal {
+	if refusal := checkIdempotencyKey(r); refusal != nil {
+		return refusal
+	}
+	if req.N < 0 || req.N > maxChoices {
+		return refuse(http.StatusBadRequest, "bad_n", "n is out of range")
+	}
+	if req.MaxTokens < 0 || req.MaxCompletionTokens < 0 {
+		return refuse(http.StatusBadRequest, "bad_max_tokens", "the number of tokens must not be negative")
+	}
+	return nil
+}
+
+func checkIdempotencyKey(r *http.Request) *serving.Refusal {
+	if len(r.Header.Get(HeaderIdempotencyKey)) > maxIdempotencyKeyBytes {
+		return refuse(http.StatusBadRequest, "bad_idempotency_key", "the idempotency key is too long")
+	}
+	return nil
+}
+
+func hashRequest(method, uri string, body []byte) [sha256.Size]byte {
+	h := sha256.New()
+	_, _ = io.WriteString(h, method+" "+uri+"\n")
+	_, _ = h.Write(body)
+	return [sha256.Size]byte(h.Sum(nil))
+}
+
+// engineBody turns streaming and the report of token counts on: the router
+// always streams from engines, so that whole answers can be resumed too, and
+// bills what the engine counted.
+func engineBody(body []byte) ([]byte, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return nil, err
+	}
+	var options map[string]json.RawMessage
+	if raw, ok := fields["stream_options"]; ok {
+		if err := json.Unmarshal(raw, &options); err != nil {
+			return nil, err
+		}
+	}
+	if options == nil {
+		options = make(map[string]json.RawMessage)
+	}
+	options["include_usage"] = json.RawMessage("true")
+	fields["stream"] = json.RawMessage("true")
+	fields["stream_options"] = joinObject(options)
+	return joinObject(fields), nil
+}
+
+// joinObject writes an object without scanning its values again, which
+// json.Marshal would do for the whole prompt.
+func joinObject(fields map[string]json.RawMessage) []byte {
+	size := len("{}")
+	for name, value := range fields {
+		size += len(name) + len(value) + len(`"":,`)
+	}
+	out := append(make([]byte, 0, size), '{')
+	for name, value := range fields {
+		if len(out) > 1 {
+			out = append(out, ',')
+		}
+		quoted, _ := json.Marshal(name)
+		out = append(out, quoted...)
+		out = append(out, ':')
+		out = append(out, value...)
+	}
+	return append(out, '}')
+}
+
+func promptText(req completionRequest) string {
+	if len(req.Messages) > 0 {
+		return string(req.Messages)
+	}
+	return string(req.Prompt)
+}
+
+func maxTokens(req completionRequest, limits config.Limits) int {
+	if req.MaxCompletionTokens > 0 {
+		return req.MaxCompletionTokens
+	}
+	if req.MaxTokens > 0 {
+		return req.MaxTokens
+	}
+	return limits.DefaultMaxTokens
+}
+
+// choices returns how many answers the request asks for. A list of prompts
+// asks for n answers to each.
+func choices(req completionRequest) int {
+	n := max(req.N, 1)
+	var prompts []json.RawMessage
+	if json.Unmarshal(req.Prompt, &prompts) != nil || len(prompts) == 0 {
+		return n
+	}
+	if c := prompts[0][0]; c != '"' && c != '[' {
+		// A list of token numbers is one prompt.
+		return n
+	}
+	return n * len(prompts)
+}
+
+const requestIDBytes = 16
+
+func newRequestID() string {
+	var buf [requestIDBytes]byte
+	_, _ = rand.Read(buf[:])
+	return hex.EncodeToString(buf[:])
+}
+
+func refuse(status int, code, message string) *serving.Refusal {
+	return &serving.Refusal{Status: status, Code: code, Message: message, Run: serving.NotRun}
+}
+
+// retryAfterSeconds rounds up, because a resend that comes early is refused
+// again.
+func retryAfterSeconds(d time.Duration) int {
+	return int((d + time.Second - 1) / time.Second)
+}
--- /dev/null
+++ b/internal/adapter/callerhttp/limits.go
@@ -0,0 +1,72 @@
+package callerhttp
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cuminwing/cuminwing/internal/config"
+	"github.com/cuminwing/cuminwing/internal/serving"
+)
+
+// busyRetryAfter is the pause asked of callers that hit a concurrency limit.
+const busyRetryAfter = time.Second
+
+func checkLimits(r *http.Request, snap *config.Snapshot, active int64) *serving.Refusal {
+	limits := snap.Document.Limits
+	if headerBytes(r) > limits.MaxHeaderBytes {
+		return refuse(http.StatusRequestHeaderFieldsTooLarge, "header_too_large", "the request header exceeds the limit")
+	}
+	if r.ContentLength > limits.MaxBodyBytes {
+		return errBodyTooLarge
+	}
+	if active > int64(limits.MaxConcurrentPerVM) {
+		refusal := refuse(http.StatusServiceUnavailable, "vm_busy", "this VM runs as many requests as it may")
+		refusal.RetryAfter = busyRetryAfter
+		return refusal
+	}
+	return nil
+}
+
+// headerBytes is the size of the header as HTTP/1.1 writes it.
+func headerBytes(r *http.Request) int {
+	const separators = len(": \r\n")
+	total := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			total += len(name) + len(v) + separators
+		}
+	}
+	return total
+}
+
+// running counts the running requests of each workspace.
+type running struct {
+	mu     sync.Mutex
+	counts map[string]int
+}
+
+// enter counts a request in. The release function must be called once.
+func (c *running) enter(workspace string, snap *config.Snapshot) (release func(), refusal *serving.Refusal) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.counts == nil {
+		c.counts = make(map[string]int)
+	}
+	if workspace != "" && c.counts[workspace] >= snap.Document.Workspaces[workspace].MaxConcurrent {
+		refusal := refuse(http.StatusTooManyRequests, "workspace_busy", "the workspace runs as many requests on this VM as it may")
+		refusal.RetryAfter = busyRetryAfter
+		return nil, refusal
+	}
+	c.counts[workspace]++
+	return func() { c.leave(workspace) }, nil
+}
+
+func (c *running) leave(workspace string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts[workspace]--
+	if c.counts[workspace] == 0 {
+		delete(c.counts, workspace)
+	}
+}
--- a/internal/daemon/serving.go
+++ b/internal/daemon/serving.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"time"
 
 	"github.com/cuminwing/cuminwing/internal/adapter/callerhttp"
 	"github.com/cuminwing/cuminwing/internal/adapter/targethttp"
@@ -28,6 +29,7 @@
 		Picker:   picker,
 		Retries:  alwaysRetry{},
 		Engines:  targethttp.NewEngines(n.options.Dial),
+		Services: targethttp.NewServices(n.options.Dial),
 		Ledger:   discardLedger{},
 		Observer: discardObserver{},
 	}
@@ -41,9 +43,34 @@
 	return nil
 }
 
+const (
+	// callerIdleTimeout is longer than the idle timeout of usual load
+	// balancers, so that it is they who close idle connections.
+	callerIdleTimeout = 3 * time.Minute
+	// maxCallerHeaderBytes bounds the header before a configuration is known;
+	// limits.max_header_bytes is checked per request.
+	maxCallerHeaderBytes = 256 << 10
+)
+
+// callerProtocols allows HTTP/2 in clear text too, for load balancers that
+// speak it.
+func callerProtocols() *http.Protocols {
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	p.SetHTTP2(true)
+	p.SetUnencryptedHTTP2(true)
+	return p
+}
+
 // startCallers binds the listener for callers.
 func (n *Node) startCallers() error {
-	server := &http.Server{Handler: n.callers.Handler(), ReadHeaderTimeout: peerReadHeaderTimeout}
+	server := &http.Server{
+		Handler:           n.callers.Handler(),
+		ReadHeaderTimeout: peerReadHeaderTimeout,
+		IdleTimeout:       callerIdleTimeout,
+		MaxHeaderBytes:    maxCallerHeaderBytes,
+		Protocols:         callerProtocols(),
+	}
 	return n.listen(n.settings.CallerAddress, server)
 }
 
--- /dev/null
+++ b/internal/daemon/streams_test.go
@@ -0,0 +1,167 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/cuminwing/cuminwing/internal/keys"
+	"github.com/cuminwing/cuminwing/internal/standin"
+)
+
+// Guards against lost, doubled or foreign tokens when an engine fails while it
+// answers: the caller must see the answer that a healthy engine gives.
+func TestStreamsSurviveEngineFaults(t *testing.T) {
+	faults := map[string]standin.Faults{
+		"cut":            {CutAfter: 10, Requests: 1},
+		"cut twice":      {CutAfter: 10, Requests: 2},
+		"stall":          {StallAfter: 10, Requests: 1},
+		"stall at start": {StallAfter: 1, Requests: 1},
+		"crossed":        {Cross: 1},
+		"status 500":     {Status: 500, Requests: 1},
+		"status 429":     {Status: 429, Requests: 1},
+	}
+	for _, http2 := range []bool{false, true} {
+		vm := startVM(t, "muc-a", testDocument())
+		engines := []*standin.Engine{startEngine(t, "e1", http2, vm), startEngine(t, "e2", http2, vm)}
+		want := ask(t, vm, "dossier", 40, nil)
+		if !want.whole() {
+			t.Fatalf("without a fault: %+v", want)
+		}
+		for name, fault := range faults {
+			t.Run(fmt.Sprintf("%s/http2=%t", name, http2), func(t *testing.T) {
+				for _, e := range engines {
+					e.SetFaults(fault)
+				}
+				got := ask(t, vm, "dossier", 40, nil)
+				if !got.whole() || got.text != want.text {
+					t.Errorf("got %+v, want text %q", got, want.text)
+				}
+			})
+		}
+	}
+}
+
+// Guards against doubled or missing tokens when the next engine starts at
+// another offset than it was asked for.
+func TestResumeAtAnotherOffset(t *testing.T) {
+	vm := startVM(t, "muc-a", testDocument())
+	engine := startEngine(t, "e1", false, vm)
+	want := ask(t, vm, "dossier", 40, nil)
+	engine.SetFaults(standin.Faults{CutAfter: 30, Repeat: 5})
+	if got := ask(t, vm, "dossier", 40, nil); !got.whole() || got.text != want.text {
+		t.Errorf("repeated tokens: got %+v, want %q", got, want.text)
+	}
+	engine.SetFaults(standin.Faults{CutAfter: 30, Skip: 1})
+	got := ask(t, vm, "dossier", 40, nil)
+	if got.done != 0 || got.failed == "" || !strings.HasPrefix(want.text, got.text) {
+		t.Errorf("skipped token: got %+v, want a prefix and an error event", got)
+	}
+}
+
+// Guards against streams and new requests that hang on connections whose state
+// a device on the way has lost.
+func TestSilentConnections(t *testing.T) {
+	for _, http2 := range []bool{false, true} {
+		t.Run(fmt.Sprintf("http2=%t", http2), func(t *testing.T) {
+			vm := startVM(t, "muc-a", testDocument())
+			engine := startEngine(t, "e1", http2, vm)
+			want := ask(t, vm, "dossier", 200, nil)
+			got := ask(t, vm, "dossier", 200, func(n int) {
+				if n == 20 && engine.Silence() == 0 {
+					t.Error("no connection was open")
+				}
+			})
+			if !got.whole() || got.text != want.text {
+				t.Errorf("running stream: %d done, %q, text equal: %t", got.done, got.failed, got.text == want.text)
+			}
+			started := engine.Started()
+			if got := ask(t, vm, "another", 20, nil); !got.whole() || engine.Started() != started+1 {
+				t.Errorf("new request: %+v after %d attempts", got, engine.Started()-started)
+			}
+			await(t, "end of the silent request", func() bool { return engine.Running() == 0 })
+		})
+	}
+}
+
+// Guards against refusals that say not-run although an engine began, and
+// against streams without an end that look whole.
+func TestRunStateOfRefusals(t *testing.T) {
+	document := testDocument()
+	grade := document.Routes["grade"]
+	grade.MaxAttempts, grade.FirstTokenTimeoutMS = 1, 300
+	document.Routes["grade"] = grade
+	vm := startVM(t, "muc-a", document)
+	if got := ask(t, vm, "dossier", 20, nil); got.header.Get("Cuminwing-Run") != "not-run" {
+		t.Errorf("without engines: %+v", got)
+	}
+	engine := startEngine(t, "e1", false, vm)
+	for _, c := range []struct {
+		fault  standin.Faults
+		status int
+		run    string
+	}{
+		{standin.Faults{Status: 500}, http.StatusBadGateway, "unknown"},
+		{standin.Faults{Status: 429}, http.StatusServiceUnavailable, "unknown"},
+		{standin.Faults{Status: 400}, http.StatusBadRequest, "ran"},
+	} {
+		engine.SetFaults(c.fault)
+		started := engine.Started()
+		got := ask(t, vm, "dossier", 20, nil)
+		if got.status != c.status || got.header.Get("Cuminwing-Run") != c.run || engine.Started() != started+1 {
+			t.Errorf("%+v: got %+v after %d attempts", c, got, engine.Started()-started)
+		}
+	}
+	engine.SetFaults(standin.Faults{CutAfter: 5})
+	if got := ask(t, vm, "dossier", 20, nil); got.done != 0 || got.failed != "target_failed" {
+		t.Errorf("cut stream: %+v", got)
+	}
+	engine.Close()
+	if got := ask(t, vm, "dossier", 20, nil); got.header.Get("Cuminwing-Run") != "not-run" {
+		t.Errorf("refused dial: %+v", got)
+	}
+}
+
+// Guards against streams that outlive a withdrawn key.
+func TestWithdrawnKeyEndsStream(t *testing.T) {
+	vm := startVM(t, "muc-a", testDocument())
+	engine := startEngine(t, "e1", false, vm)
+	got := ask(t, vm, "dossier", 100000, func(n int) {
+		if n == 10 {
+			vm.withdrawn.Add(keys.Sum(testKey))
+		}
+	})
+	if got.done != 0 || got.failed != "key_withdrawn" {
+		t.Errorf("got %d done and error %q", got.done, got.failed)
+	}
+	await(t, "end of the engine's work", func() bool { return engine.Running() == 0 })
+}
+
+// Guards against engines that go on working for callers that are gone.
+func TestCallerGoneCancelsEngine(t *testing.T) {
+	for _, http2 := range []bool{false, true} {
+		vm := startVM(t, "muc-a", testDocument())
+		engine := startEngine(t, "e1", http2, vm)
+		ctx, cancel := context.WithCancel(t.Context())
+		resp, err := send(ctx, http.MethodPost, vm.base+"/v1/chat/completions", testKey, chatBody("dossier", 100000, true))
+		if err != nil {
+			t.Fatal(err)
+		}
+		readAnswer(resp, func(int) { cancel() })
+		await(t, "cancelled request", func() bool { return engine.Cancelled() == 1 && engine.Running() == 0 })
+	}
+}
+
+// Guards against callers that give up on a connection with nothing on it.
+func TestWaitingCallersGetHeartbeats(t *testing.T) {
+	document := testDocument()
+	document.Limits.HeartbeatMS = 20
+	vm := startVM(t, "muc-a", document)
+	engine := startEngine(t, "e1", false, vm)
+	engine.SetFaults(standin.Faults{StallAfter: 1, Requests: 1})
+	if got := ask(t, vm, "dossier", 10, nil); !got.whole() || !strings.Contains(got.body, ": waiting") {
+		t.Errorf("got %+v", got)
+	}
+}
--- a/internal/serving/ports.go
+++ b/internal/serving/ports.go
@@ -6,6 +6,10 @@
 
 import (
 	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cuminwing/cuminwing/internal/config"
@@ -40,8 +44,14 @@
 	PromptTokens int
 	// MaxTokens bounds the answer.
 	MaxTokens int
+	// Choices is the number of answers asked for.
+	Choices int
+	// IncludeUsage is true if the caller wants the token counts as an event.
+	IncludeUsage bool
 	// IdempotencyKey is the caller's key for resends; may be empty.
 	IdempotencyKey string
+	// BodyHash identifies the request as the caller sent it.
+	BodyHash [32]byte
 	// Received is when the request arrived.
 	Received time.Time
 	// Deadline is when the request must be finished.
@@ -71,6 +81,10 @@
 	Run RunState
 	// RetryAfter is when a resend makes sense; zero if unknown.
 	RetryAfter time.Duration
+	// ContentType and Body are set if a target refused the request as wrong
+	// and its answer is passed through.
+	ContentType string
+	Body        []byte
 }
 
 // Error returns the code and the message.
@@ -224,6 +238,8 @@
 	Call *Call
 	// Priority is passed on: lower runs first.
 	Priority int
+	// Attempt counts from 0 and tells the attempts of a request apart.
+	Attempt int
 	// ResumeOffset is the number of tokens already delivered.
 	ResumeOffset int
 	// ResumeText is the text of those tokens.
@@ -244,12 +260,26 @@
 	Data []byte
 	// Text is the generated text in Data.
 	Text string
-	// Finish is true on the event that ends the answer.
-	Finish bool
+	// Finished is the number of choices that end with this event.
+	Finished int
+	// Opaque is true if Text does not hold everything that Data adds to the
+	// answer, as with tool calls or several choices.
+	Opaque bool
+	// Usage is set on the event that reports token counts.
+	Usage *Usage
+	// UsageOnly is true if the event has no choices.
+	UsageOnly bool
 	// Done is true for the end-of-stream marker.
 	Done bool
 }
 
+// Usage is the token count that an engine reports.
+type Usage struct {
+	// PromptTokens and CompletionTokens are counted by the engine.
+	PromptTokens     int
+	CompletionTokens int
+}
+
 // ChunkStream is an open stream of an engine.
 type ChunkStream interface {
 	// Next waits for the next chunk, no longer than limit.
@@ -275,6 +305,72 @@
 // Unwrap returns the cause.
 func (e *DialError) Unwrap() error { return e.Err }
 
+// ServiceRequest is one call of a plain service, cleaned of the caller key.
+type ServiceRequest struct {
+	// Method and URI are as received; URI has no scheme and host.
+	Method string
+	URI    string
+	// Header has no hop-by-hop fields.
+	Header http.Header
+	// Body returns the body. If it is not buffered, it can be read only once.
+	Body     func() io.Reader
+	Buffered bool
+	// ContentLength is the length of the body; -1 if unknown.
+	ContentLength int64
+}
+
+// ServiceAnswer is the answer of a plain service.
+type ServiceAnswer struct {
+	// Status and Header are as sent, without hop-by-hop fields.
+	Status int
+	Header http.Header
+	// Body ends with an error if the target stalls. Closing it early cancels
+	// the call.
+	Body io.ReadCloser
+}
+
+// Services calls plain services.
+type Services interface {
+	// Do dispatches one attempt and waits for the header of the answer. No
+	// layer below may send the request a second time.
+	Do(ctx context.Context, t *target.Target, call *Call, req ServiceRequest) (*ServiceAnswer, error)
+}
+
+// ServiceSink takes the answer of a plain service on the caller's side.
+type ServiceSink interface {
+	// Begin sends the header.
+	Begin(status int, header http.Header)
+	// Write sends a part of the body. An error means that the caller is gone.
+	Write(p []byte) (int, error)
+}
+
+// StatusError is an answer of a target with an error status.
+type StatusError struct {
+	// Status is the HTTP status code.
+	Status int
+	// ContentType and Body are the answer; the body may be cut.
+	ContentType string
+	Body        []byte
+	// RetryAfter is the target's wish; zero if it has none.
+	RetryAfter time.Duration
+}
+
+// Error returns the status. The body is left out, because a target may repeat
+// parts of the request in it.
+func (e *StatusError) Error() string {
+	return "target answered with status " + strconv.Itoa(e.Status)
+}
+
+// ErrStalled is returned if a target sent nothing within the limit.
+var ErrStalled = errors.New("target stalled")
+
+// ErrAbandoned is the result of an attempt that was not made or was cancelled
+// without fault of its target.
+var ErrAbandoned = errors.New("the attempt was given up")
+
+// ErrKeyWithdrawn is the cause of a context that ended with the caller's key.
+var ErrKeyWithdrawn = errors.New("the key was withdrawn")
+
 // UsageRecord bills one request.
 type UsageRecord struct {
 	// Workspace is billed.
@@ -326,4 +422,11 @@
 type Sink interface {
 	// Chunk passes one event on. An error means that the caller is gone.
 	Chunk(c Chunk) error
+	// Restart forgets the events so far. It reports false if the caller has
+	// seen any of them.
+	Restart() bool
+	// Stored returns the answer as a resend must get it.
+	Stored() StoredAnswer
+	// Replay answers with a stored answer.
+	Replay(answer StoredAnswer)
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -29,6 +29,10 @@
 	TokenInterval time.Duration
 	// BatchSlots is the number of concurrent requests.
 	BatchSlots int
+	// StartDelay is the time before the first token.
+	StartDelay time.Duration
+	// HTTP2 announces that the engine speaks HTTP/2.
+	HTTP2 bool
 }
 
 // Engine is a stand-in model engine. Its answers are a function of the
@@ -44,6 +48,8 @@
 	stop        context.CancelFunc
 	done        sync.WaitGroup
 	leaving     atomic.Bool
+	gate        *Gate
+	faults      faults
 }
 
 // StartEngine listens on address and announces the engine until it is closed.
@@ -58,12 +64,14 @@
 		incarnation: uint64(time.Now().UnixMicro()),
 		listener:    listener,
 		stop:        cancel,
+		gate:        NewGate(listener),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/chat/completions", e.complete)
 	mux.HandleFunc("POST /v1/completions", e.complete)
-	e.server = &http.Server{Handler: mux}
-	e.done.Go(func() { _ = e.server.Serve(listener) })
+	mux.HandleFunc("POST /v1/requests/{id}/cancel", e.cancelRequest)
+	e.server = &http.Server{Handler: mux, Protocols: standinProtocols()}
+	e.done.Go(func() { _ = e.server.Serve(e.gate) })
 	e.done.Go(func() { e.announceLoop(ctx) })
 	return e, nil
 }
@@ -78,6 +86,7 @@
 func (e *Engine) Close() {
 	e.stop()
 	_ = e.server.Close()
+	e.gate.Release()
 	e.done.Wait()
 }
 
@@ -113,7 +122,7 @@
 		Version:      o.Version,
 		Role:         "mixed",
 		BatchSlots:   o.BatchSlots,
-		Capabilities: target.Capabilities{Resume: true, Priority: true},
+		Capabilities: target.Capabilities{Resume: true, Priority: true, HTTP2: o.HTTP2},
 		Load:         target.Load{Running: int(e.running.Load())},
 		Leaving:      e.leaving.Load(),
 	}
@@ -125,6 +134,9 @@
 	Messages            json.RawMessage    `json:"messages"`
 	Prompt              json.RawMessage    `json:"prompt"`
 	Resume              *targethttp.Resume `json:"resume"`
+	StreamOptions       struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
 }
 
 const defaultAnswerTokens = 32
@@ -147,6 +159,11 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	ctx, end := e.faults.begin(r)
+	defer end()
+	if e.faults.refuse(w) {
+		return
+	}
 	start := 0
 	if req.Resume != nil {
 		start = req.Resume.Offset
@@ -162,12 +179,23 @@
 	}
 	seed := promptSeed(req)
 	total := req.tokens()
+	if !sleep(ctx, e.options.StartDelay) {
+		return
+	}
+	start = e.faults.repeat(start)
 	for i := start; i < total; i++ {
-		if out.token(i, Word(seed, i)) != nil || !sleep(r.Context(), e.options.TokenInterval) {
+		if !e.faults.beforeToken(ctx, &out, i-start) {
+			return
+		}
+		if out.token(i, Word(seed, i)) != nil || !sleep(ctx, e.options.TokenInterval) {
 			return
 		}
 	}
 	out.finish(total)
+	if req.StreamOptions.IncludeUsage {
+		out.usage(total)
+	}
+	out.done()
 }
 
 func promptSeed(req engineRequest) uint64 {
@@ -209,9 +237,10 @@
 
 func (o *eventWriter) finish(offset int) {
 	reason := "stop"
-	if o.event(offset, 0, "", &reason) != nil {
-		return
-	}
+	_ = o.event(offset, 0, "", &reason)
+}
+
+func (o *eventWriter) done() {
 	_, _ = fmt.Fprint(o.w, "data: [DONE]\n\n")
 	_ = o.flusher.Flush()
 }
--- a/internal/target/registry.go
+++ b/internal/target/registry.go
@@ -73,6 +73,9 @@
 	Resume bool `json:"resume,omitempty"`
 	// Priority is true if request priorities are honoured.
 	Priority bool `json:"priority,omitempty"`
+	// HTTP2 is true if the target speaks HTTP/2, in clear text with prior
+	// knowledge for http URLs.
+	HTTP2 bool `json:"http2,omitempty"`
 	// KV is true if KV blocks can be exported and imported.
 	KV bool `json:"kv,omitempty"`
 }
