Index which target holds which leading blocks of a prompt

Cause: routing ignored the KV caches of the engines.

Change: internal/prefix cuts a prompt into a chain of 64-bit block hashes seeded by a digest of workspace, model, version and adapter, and indexes the blocks by (target, incarnation). Numbered events confirm entries; a gap makes the entries of a target uncertain until a resync; predictions expire with the observed eviction age; a dropped or replaced incarnation disappears at once.

--- /dev/null
+++ b/internal/prefix/prefix_test.go
@@ -0,0 +1,246 @@
+package prefix
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cuminwing/cuminwing/internal/target"
+)
+
+type fakeClock struct{ now time.Time }
+
+func (c *fakeClock) Now() time.Time { return c.now }
+
+func newTestIndex() (*Index, *fakeClock) {
+	clock := &fakeClock{time.Unix(1000, 0)}
+	return NewIndex(clock.Now), clock
+}
+
+func ref(id int, incarnation uint64) target.Ref {
+	return target.Ref{ID: fmt.Sprint("e", id), Incarnation: incarnation}
+}
+
+func chainOf(seed, n int) []Hash {
+	return AppendChain(nil, Scope{Workspace: "w"}.Digest(), strings.Repeat(fmt.Sprintf("%04d", seed), n), 1)
+}
+
+func stored(sequence uint64, chain []Hash) Event {
+	return Event{Sequence: sequence, Kind: Stored, Root: chain[0], Blocks: chain}
+}
+
+func held(x *Index, r target.Ref, chain []Hash) int {
+	for _, h := range x.Lookup(nil, chain) {
+		if h.Ref == r {
+			return h.Blocks
+		}
+	}
+	return 0
+}
+
+func wantHeld(t *testing.T, x *Index, r target.Ref, chain []Hash, want int) {
+	t.Helper()
+	if got := held(x, r, chain); got != want {
+		t.Errorf("%v holds %d blocks, want %d", r, got, want)
+	}
+}
+
+// Guards against reuse over workspaces, weights or adapters, and against
+// hashes that do not cover everything before them.
+func TestChainScope(t *testing.T) {
+	text := strings.Repeat("abcd", 10)
+	base := Scope{"w", "m", "v1", "a"}
+	chain := AppendChain(nil, base.Digest(), text, 2)
+	if len(chain) != 5 {
+		t.Fatalf("chain has %d blocks, want 5", len(chain))
+	}
+	for _, other := range []Scope{{"x", "m", "v1", "a"}, {"w", "m", "v2", "a"}, {"w", "m", "v1", "b"}, {"wm", "", "v1", "a"}} {
+		for i, h := range AppendChain(nil, other.Digest(), text, 2) {
+			if h == chain[i] {
+				t.Errorf("scope %v shares block %d", other, i)
+			}
+		}
+	}
+	changed := AppendChain(nil, base.Digest(), "x"+text[1:], 2)
+	if changed[4] == chain[4] {
+		t.Error("the last hash does not cover the first token")
+	}
+	parsed, err := ParseChain(FormatChain(chain))
+	if err != nil || fmt.Sprint(parsed) != fmt.Sprint(chain) {
+		t.Errorf("parsed %v, %v, want %v", parsed, err, chain)
+	}
+}
+
+// Guards against trust in a stream that lost events.
+func TestGapMakesUncertain(t *testing.T) {
+	x, clock := newTestIndex()
+	r, a, b := ref(1, 1), chainOf(1, 3), chainOf(2, 3)
+	x.Apply(Batch{Ref: r, Stream: 7, Reset: true, Through: 4})
+	if x.Apply(Batch{Ref: r, Stream: 7, Events: []Event{stored(5, a)}}) {
+		t.Error("whole stream asks for a resync")
+	}
+	if !x.Apply(Batch{Ref: r, Stream: 7, Events: []Event{stored(7, b)}}) {
+		t.Error("gap does not ask for a resync")
+	}
+	wantHeld(t, x, r, a, 3)
+	clock.now = clock.now.Add(defaultEvictionAge)
+	wantHeld(t, x, r, a, 0)
+	x.Apply(Batch{Ref: r, Stream: 8, Reset: true, Through: 9, Events: []Event{stored(0, b)}})
+	wantHeld(t, x, r, a, 0)
+	wantHeld(t, x, r, b, 3)
+	if x.Apply(Batch{Ref: r, Stream: 7, Events: []Event{stored(8, a)}}) {
+		t.Error("superseded stream asks for a resync")
+	}
+	wantHeld(t, x, r, a, 0)
+}
+
+// Guards against events that arrive twice or after a newer one.
+func TestReorderedEvents(t *testing.T) {
+	x, _ := newTestIndex()
+	r, a := ref(1, 1), chainOf(1, 3)
+	x.Apply(Batch{Ref: r, Stream: 7, Reset: true})
+	x.Apply(Batch{Ref: r, Stream: 7, Events: []Event{stored(1, a), {Sequence: 2, Kind: Evicted, Root: a[0], Blocks: a[1:]}}})
+	if x.Apply(Batch{Ref: r, Stream: 7, Events: []Event{stored(1, a)}}) {
+		t.Error("repeated event asks for a resync")
+	}
+	wantHeld(t, x, r, a, 1)
+}
+
+// Guards against entries of dead incarnations, also by late events and after
+// the slot was given to another target.
+func TestDeadIncarnation(t *testing.T) {
+	x, _ := newTestIndex()
+	old, a := ref(1, 1), chainOf(1, 3)
+	x.Apply(Batch{Ref: old, Stream: 7, Reset: true, Events: []Event{stored(0, a)}})
+	x.Predict(ref(1, 2), a[:1])
+	wantHeld(t, x, old, a, 0)
+	wantHeld(t, x, ref(1, 2), a, 1)
+	x.Apply(Batch{Ref: old, Stream: 7, Events: []Event{stored(1, a)}})
+	x.Apply(Batch{Ref: old, Stream: 8, Reset: true, Events: []Event{stored(0, a)}})
+	wantHeld(t, x, old, a, 0)
+	x.Drop(ref(1, 2))
+	x.Predict(ref(1, 2), a)
+	wantHeld(t, x, ref(1, 2), a, 0)
+	x.Tick()
+	for i := 2; i < MaxSlots+2; i++ {
+		x.Predict(ref(i, 1), chainOf(i, 1))
+	}
+	if got := x.Lookup(nil, a); len(got) != 0 {
+		t.Errorf("reused slots hold %v", got)
+	}
+}
+
+// Guards against predictions that outlive the engine's eviction age.
+func TestPredictionDecays(t *testing.T) {
+	x, clock := newTestIndex()
+	r, a, b := ref(1, 1), chainOf(1, 2), chainOf(2, 2)
+	x.Apply(Batch{Ref: r, Stream: 7, Reset: true})
+	x.Predict(r, a)
+	x.Predict(r, b)
+	x.Apply(Batch{Ref: r, Stream: 7, Events: []Event{stored(1, b)}})
+	clock.now = clock.now.Add(defaultEvictionAge)
+	x.Tick()
+	wantHeld(t, x, r, a, 0)
+	wantHeld(t, x, r, b, 2)
+}
+
+// Compares the table with a plain map under random changes; guards against
+// lost or invented holders after deletion, widening and growth.
+func TestTableAgainstModel(t *testing.T) {
+	for seed := uint64(1); seed <= 5; seed++ {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		x, model := newTable(), map[[2]int]bool{}
+		for range 60000 {
+			h, slot := rng.IntN(3000), rng.IntN(12)
+			switch {
+			case rng.IntN(2000) == 0:
+				var gone slotSet
+				gone.add(slot)
+				x.removeSlots(&gone)
+				for h := range 3000 {
+					delete(model, [2]int{h, slot})
+				}
+			case rng.IntN(5) < 3:
+				x.add(Hash(h*7919), slot)
+				model[[2]int{h, slot}] = true
+			default:
+				x.remove(Hash(h*7919), slot)
+				delete(model, [2]int{h, slot})
+			}
+		}
+		for h := range 3000 {
+			for slot := range 12 {
+				if x.heldBy(Hash(h*7919), slot) != model[[2]int{h, slot}] {
+					t.Fatalf("seed %d: block %d, slot %d differs from the model", seed, h, slot)
+				}
+			}
+		}
+	}
+}
+
+func benchIndex(targets, blocks int) *Index {
+	x := NewIndex(time.Now)
+	rng := rand.New(rand.NewPCG(1, 1))
+	per := blocks / targets
+	for i := range targets {
+		events := make([]Event, 0, per/10)
+		for j := range per / 10 {
+			chain := make([]Hash, 10)
+			for k := range chain {
+				chain[k] = Hash(rng.Uint64())
+			}
+			events = append(events, stored(uint64(j), chain))
+		}
+		x.Apply(Batch{Ref: ref(i, 1), Stream: 1, Reset: true, Events: events})
+	}
+	return x
+}
+
+func BenchmarkEvents(b *testing.B) {
+	x := benchIndex(75, 320000)
+	chain := make([]Hash, 1)
+	rng := rand.New(rand.NewPCG(2, 2))
+	b.ReportAllocs()
+	next := make([]uint64, 75)
+	for n := 0; b.Loop(); n++ {
+		i := n % 75
+		if next[i]%2 == 0 {
+			chain[0] = Hash(rng.Uint64())
+		}
+		kind := []EventKind{Stored, Evicted}[next[i]%2]
+		next[i]++
+		x.Apply(Batch{Ref: ref(i, 1), Stream: 1, Events: []Event{{Sequence: next[i], Kind: kind, Root: chain[0], Blocks: chain}}})
+	}
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "events/s")
+	stats := x.Stats()
+	b.ReportMetric(float64(stats.Bytes)/float64(stats.Blocks), "bytes/block")
+}
+
+func BenchmarkMatch(b *testing.B) {
+	for _, targets := range []int{60, 600} {
+		b.Run(fmt.Sprint(targets), func(b *testing.B) {
+			x := benchIndex(targets, 320000)
+			chain := chainOf(1, 100)
+			for i := range targets {
+				x.Predict(ref(i, 1), chain[:1+i%100])
+			}
+			var m Match
+			b.ReportAllocs()
+			for b.Loop() {
+				x.Match(&m, chain)
+			}
+		})
+	}
+}
+
+func BenchmarkChain400KB(b *testing.B) {
+	text := strings.Repeat("abcd", 100000)
+	scope := Scope{Workspace: "w"}.Digest()
+	dst := make([]Hash, 0, 128)
+	b.ReportAllocs()
+	for b.Loop() {
+		dst = AppendChain(dst[:0], scope, text, 1000)
+	}
+}
