--- a/internal/prefix/index.go
+++ b/internal/prefix/index.go
@@ -81,12 +81,14 @@
 type Index struct {
 	clock func() time.Time
 
-	mu      sync.RWMutex
-	table   table
-	slots   [MaxSlots]slot
-	live    slotSet
-	dead    slotSet
-	targets map[string]*incarnation
+	mu    sync.RWMutex
+	table table
+	slots [MaxSlots]slot
+	live  slotSet
+	dead  slotSet
+	// uncertain holds the slots after a gap in their stream.
+	uncertain slotSet
+	targets   map[string]*incarnation
 	// layout changes when a slot is given to another incarnation.
 	layout atomic.Uint64
 }
@@ -138,6 +140,7 @@
 	}
 	if gap && s.uncertain.IsZero() {
 		s.uncertain = x.clock().Add(s.evictionAge)
+		x.uncertain.add(at)
 	}
 	x.applyEvents(at, b.Events)
 	return !s.uncertain.IsZero()
@@ -226,6 +229,7 @@
 
 func (x *Index) release(at int) {
 	x.live.remove(at)
+	x.uncertain.remove(at)
 	x.dead.add(at)
 	x.slots[at].predicted = nil
 	x.layout.Add(1)
@@ -253,9 +257,10 @@
 	x.targets[ref.ID] = &incarnation{number: ref.Incarnation}
 }
 
-// Predict notes that ref is about to hold chain. The entries expire with the
-// eviction age of the engine unless an event confirms them.
-func (x *Index) Predict(ref target.Ref, chain []Hash) {
+// Predict notes that ref is about to hold chain, of which it is believed to
+// hold the first blocks. The entries expire with the eviction age of the
+// engine unless an event confirms them.
+func (x *Index) Predict(ref target.Ref, chain []Hash, held int) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	at, ok := x.slotFor(ref)
@@ -263,7 +268,11 @@
 		return
 	}
 	s := &x.slots[at]
-	expiry := x.clock().Add(s.evictionAge)
+	now := x.clock()
+	if held > 0 && held <= len(chain) && x.lasting(s, at, chain[held-1], now) {
+		chain = chain[held:]
+	}
+	expiry := now.Add(s.evictionAge)
 	for _, h := range chain {
 		_, predicted := s.predicted[h]
 		if predicted || !x.table.heldBy(h, at) {
@@ -273,6 +282,16 @@
 	}
 }
 
+// lasting reports whether the entry of h needs no refresh. A prediction
+// covers all blocks before it, so that those last at least as long.
+func (x *Index) lasting(s *slot, at int, h Hash, now time.Time) bool {
+	expiry, predicted := s.predicted[h]
+	if predicted {
+		return expiry.Sub(now) > s.evictionAge/2
+	}
+	return x.table.heldBy(h, at)
+}
+
 // slotFor returns the slot of ref and makes one for a new incarnation.
 func (x *Index) slotFor(ref target.Ref) (int, bool) {
 	known, ok := x.targets[ref.ID]
--- a/internal/prefix/match.go
+++ b/internal/prefix/match.go
@@ -87,10 +87,10 @@
 func (x *Index) certain() slotSet {
 	set := x.live
 	now := x.clock()
-	for w, word := range x.live {
+	for w, word := range x.uncertain {
 		for ; word != 0; word &= word - 1 {
 			at := w*64 + bits.TrailingZeros64(word)
-			if until := &x.slots[at].uncertain; !until.IsZero() && !now.Before(*until) {
+			if !now.Before(x.slots[at].uncertain) {
 				set.remove(at)
 			}
 		}
--- a/internal/prefix/prefix_test.go
+++ b/internal/prefix/prefix_test.go
@@ -114,18 +114,18 @@
 	x, _ := newTestIndex()
 	old, a := ref(1, 1), chainOf(1, 3)
 	x.Apply(Batch{Ref: old, Stream: 7, Reset: true, Events: []Event{stored(0, a)}})
-	x.Predict(ref(1, 2), a[:1])
+	x.Predict(ref(1, 2), a[:1], 0)
 	wantHeld(t, x, old, a, 0)
 	wantHeld(t, x, ref(1, 2), a, 1)
 	x.Apply(Batch{Ref: old, Stream: 7, Events: []Event{stored(1, a)}})
 	x.Apply(Batch{Ref: old, Stream: 8, Reset: true, Events: []Event{stored(0, a)}})
 	wantHeld(t, x, old, a, 0)
 	x.Drop(ref(1, 2))
-	x.Predict(ref(1, 2), a)
+	x.Predict(ref(1, 2), a, 0)
 	wantHeld(t, x, ref(1, 2), a, 0)
 	x.Tick()
 	for i := 2; i < MaxSlots+2; i++ {
-		x.Predict(ref(i, 1), chainOf(i, 1))
+		x.Predict(ref(i, 1), chainOf(i, 1), 0)
 	}
 	if got := x.Lookup(nil, a); len(got) != 0 {
 		t.Errorf("reused slots hold %v", got)
@@ -137,8 +137,8 @@
 	x, clock := newTestIndex()
 	r, a, b := ref(1, 1), chainOf(1, 2), chainOf(2, 2)
 	x.Apply(Batch{Ref: r, Stream: 7, Reset: true})
-	x.Predict(r, a)
-	x.Predict(r, b)
+	x.Predict(r, a, 0)
+	x.Predict(r, b, 0)
 	x.Apply(Batch{Ref: r, Stream: 7, Events: []Event{stored(1, b)}})
 	clock.now = clock.now.Add(defaultEvictionAge)
 	x.Tick()
@@ -224,7 +224,7 @@
 			x := benchIndex(targets, 320000)
 			chain := chainOf(1, 100)
 			for i := range targets {
-				x.Predict(ref(i, 1), chain[:1+i%100])
+				x.Predict(ref(i, 1), chain[:1+i%100], 0)
 			}
 			var m Match
 			b.ReportAllocs()
--- a/internal/serving/ports.go
+++ b/internal/serving/ports.go
@@ -10,6 +10,7 @@
 
 	"github.com/cuminwing/cuminwing/internal/config"
 	"github.com/cuminwing/cuminwing/internal/keys"
+	"github.com/cuminwing/cuminwing/internal/prefix"
 	"github.com/cuminwing/cuminwing/internal/target"
 )
 
@@ -187,10 +188,24 @@
 	// ExpectedCachedTokens is the part of the prompt that the target is
 	// expected to hold.
 	ExpectedCachedTokens int
+	// Prefix is passed on to the engine.
+	Prefix PrefixHint
 	// Done must be called once with the result of the attempt.
 	Done func(AttemptResult)
 }
 
+// PrefixHint tells an engine which blocks the prompt consists of, so that its
+// cache events name the same blocks as the router.
+type PrefixHint struct {
+	// Scope separates the blocks of workspaces, weights and adapters.
+	Scope prefix.ScopeDigest
+	// Blocks is the chain of whole blocks.
+	Blocks []prefix.Hash
+	// KVSource is the base URL of a KV store from which importing blocks is
+	// faster than computing them; empty if there is none.
+	KVSource string
+}
+
 // AttemptResult is what one attempt at a target came to.
 type AttemptResult struct {
 	// Err is nil if the attempt finished its part.
@@ -228,6 +243,8 @@
 	ResumeOffset int
 	// ResumeText is the text of those tokens.
 	ResumeText string
+	// Prefix names the blocks of the prompt.
+	Prefix PrefixHint
 }
 
 // Chunk is one event of an engine's stream.
--- a/internal/serving/service.go
+++ b/internal/serving/service.go
@@ -145,6 +145,7 @@
 		Priority:     priority(r.call.Route.Class),
 		ResumeOffset: r.delivered,
 		ResumeText:   string(r.text),
+		Prefix:       pick.Prefix,
 	})
 	if err == nil {
 		err = r.relay(stream, pick)
