--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -16,6 +16,8 @@
 	"go.uber.org/zap"
 
 	"github.com/cuminwing/cuminwing/internal/adapter/callerhttp"
+	"github.com/cuminwing/cuminwing/internal/adapter/gossip"
+	"github.com/cuminwing/cuminwing/internal/adapter/replica"
 	"github.com/cuminwing/cuminwing/internal/adapter/targethttp"
 	"github.com/cuminwing/cuminwing/internal/config"
 	"github.com/cuminwing/cuminwing/internal/control"
@@ -52,12 +54,15 @@
 	snapshot  atomic.Pointer[config.Snapshot]
 	withdrawn *keys.Withdrawn
 	registry  *target.Registry
+	gossip    *gossip.Conn
 	callers   *callerhttp.Server
 
 	// parts make up the replicated state; duties add theirs before
 	// startControl runs. log is nil on a VM that cannot reach any voter yet.
 	parts map[control.Kind]control.Part
 	log   control.Log
+	// replica is nil on a VM without a disk.
+	replica *replica.Replica
 
 	// peerMux serves other VMs, adminMux serves operators' tools.
 	peerMux    *http.ServeMux
@@ -75,8 +80,10 @@
 func Start(s settings.Settings, options Options) (*Node, error) {
 	n := newNode(s, options)
 	steps := []func() error{
+		n.startMembership,
 		n.startTargets,
 		n.startServing,
+		n.startControl,
 		n.startStatus,
 		n.startPeers,
 		n.startCallers,
@@ -116,6 +123,11 @@
 		ctx:         ctx,
 		cancel:      cancel,
 	}
+	n.peerClient = &http.Client{Transport: &http.Transport{
+		DialContext:         options.Dial,
+		IdleConnTimeout:     peerIdleTimeout,
+		MaxIdleConnsPerHost: maxIdlePeerConns,
+	}}
 	if options.Document != nil {
 		n.snapshot.Store(config.NewSnapshot(*options.Document, 1))
 	}
@@ -127,7 +139,7 @@
 
 // members returns the live VMs, this one included.
 func (n *Node) members() []membership.Member {
-	return []membership.Member{n.self()}
+	return n.gossip.Members()
 }
 
 // self describes this VM.
@@ -199,7 +211,9 @@
 func (n *Node) Shutdown(ctx context.Context) error {
 	n.draining.Store(true)
 	n.logger.Info("VM is shutting down", zap.Int64("running_requests", n.callers.Active()))
+	n.leaveMembership()
 	err := n.waitIdle(ctx)
+	n.leaveControl()
 	n.Close()
 	return err
 }
