Route by prefix in the daemon and share the index between VMs

Cause: the daemon used least-outstanding routing and knew no caches.

Change: each target's GET /v1/cache/events is read by one VM of its zone and forwarded to the owners of the chains, both by rendezvous hashing. An owner numbers what it gets per stream, so a lost publication leads to a resync; a change of the membership starts the streams anew. Routing VMs ask the owner for at most 5 ms and otherwise use what they know; an owner that did not answer is left alone for 500 ms. Chains are owned over the VMs of the region, not the zone, so that a VM sees the caches of all engines it may use at home. The block hashes travel in X-Prefix-Blocks and X-Prefix-Scope. The stand-in engine has a prefix cache, prefill time, batch slots with priority, lagging and lossy events, lagging load, and KV export and import.

Conclusion: prompts sent by one VM are found by all, also after an owner is gone.

--- /dev/null
+++ b/internal/adapter/targethttp/cache.go
@@ -0,0 +1,99 @@
+package targethttp
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cuminwing/cuminwing/internal/prefix"
+	"github.com/cuminwing/cuminwing/internal/serving"
+)
+
+// Headers that name the cached blocks of a prompt. The engine uses these names
+// in its cache events and keeps blocks of different scopes apart.
+const (
+	HeaderPrefixBlocks = "X-Prefix-Blocks"
+	HeaderPrefixScope  = "X-Prefix-Scope"
+	// HeaderKVSource is the base URL of a KV store from which the engine
+	// should import missing blocks before it computes the rest.
+	HeaderKVSource = "X-KV-Source"
+)
+
+// Paths of the target protocol.
+const (
+	CacheEventsPath = "/v1/cache/events"
+	LoadPath        = "/v1/load"
+	KVExportPath    = "/v1/kv/export"
+	KVImportPath    = "/v1/kv/import"
+)
+
+func setPrefixHeaders(h http.Header, hint serving.PrefixHint) {
+	if len(hint.Blocks) == 0 {
+		return
+	}
+	h.Set(HeaderPrefixBlocks, prefix.FormatChain(hint.Blocks))
+	h.Set(HeaderPrefixScope, hex.EncodeToString(hint.Scope[:]))
+	if hint.KVSource != "" {
+		h.Set(HeaderKVSource, hint.KVSource)
+	}
+}
+
+// CacheEvents is the answer to GET /v1/cache/events?after=N. With after=0, or
+// if the events after N are no longer kept, the answer is a snapshot: its
+// events are the whole content, and the numbering goes on after Through, which
+// is at least 1.
+// Otherwise the call waits up to a second for events.
+type CacheEvents struct {
+	// Incarnation is the start that the events belong to.
+	Incarnation uint64 `json:"incarnation"`
+	// Snapshot is true if the events are the whole content.
+	Snapshot bool `json:"snapshot,omitempty"`
+	// Through is the last number that the answer covers.
+	Through uint64 `json:"through"`
+	// Events are in order.
+	Events []prefix.Event `json:"events"`
+}
+
+// CacheWait is how long a target may hold back an answer without events.
+const CacheWait = time.Second
+
+const (
+	cacheTimeout        = 3 * time.Second
+	maxCacheAnswerBytes = 64 << 20
+)
+
+// CacheReader reads the cache events of targets.
+type CacheReader struct{ client *http.Client }
+
+// NewCacheReader returns a reader that connects through dial.
+func NewCacheReader(dial Dialer) *CacheReader {
+	transport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout}
+	return &CacheReader{client: &http.Client{Transport: transport, Timeout: cacheTimeout}}
+}
+
+// Events returns the events after a number.
+func (c *CacheReader) Events(ctx context.Context, base string, after uint64) (CacheEvents, error) {
+	var answer CacheEvents
+	url := base + CacheEventsPath + "?after=" + strconv.FormatUint(after, 10)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return answer, err
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return answer, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return answer, statusError(resp)
+	}
+	body := http.MaxBytesReader(nil, resp.Body, maxCacheAnswerBytes)
+	if err := json.NewDecoder(body).Decode(&answer); err != nil {
+		return answer, fmt.Errorf("decode cache events: %w", err)
+	}
+	return answer, nil
+}
--- a/internal/adapter/targethttp/engine.go
+++ b/internal/adapter/targethttp/engine.go
@@ -140,6 +140,7 @@
 	httpReq.Header.Set("Content-Type", "application/json")
 	httpReq.Header.Set(HeaderRequestID, req.Call.ID)
 	httpReq.Header.Set(HeaderPriority, strconv.Itoa(req.Priority))
+	setPrefixHeaders(httpReq.Header, req.Prefix)
 	if req.ResumeOffset > 0 {
 		httpReq.Header.Set(HeaderResumeOffset, strconv.Itoa(req.ResumeOffset))
 	}
--- /dev/null
+++ b/internal/daemon/indexrpc.go
@@ -0,0 +1,193 @@
+package daemon
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cuminwing/cuminwing/internal/membership"
+	"github.com/cuminwing/cuminwing/internal/prefix"
+	"github.com/cuminwing/cuminwing/internal/target"
+	indexv1 "github.com/cuminwing/cuminwing/proto/index/v1"
+)
+
+const (
+	// lookupTimeout bounds the wait for the owner of a chain. A round trip
+	// inside the region takes 1 ms; a block that is computed again costs 50.
+	lookupTimeout = 5 * time.Millisecond
+	// peerPause is how long an owner that did not answer is not asked.
+	peerPause = 500 * time.Millisecond
+	// publishTimeout bounds a publication; a lost one leads to a resync.
+	publishTimeout = time.Second
+	// maxPredictionBatch bounds one publication of predictions.
+	maxPredictionBatch = 64
+)
+
+// indexPeer is another VM that owns chains.
+type indexPeer struct {
+	incarnation uint64
+	address     string
+	client      indexv1.IndexService
+	// silent is when the peer may be asked again, in nanoseconds since 1970.
+	silent atomic.Int64
+}
+
+// peer keeps the former connection state of an unchanged member.
+func (r *routingDuty) peer(old *indexPeers, m membership.Member) *indexPeer {
+	if p, ok := old.clients[m.VM]; ok && p.incarnation == m.Incarnation && p.address == m.PeerAddress {
+		return p
+	}
+	client := indexv1.NewIndexServiceProtobufClient(r.node.peerURL(m.PeerAddress), r.node.peerClient)
+	return &indexPeer{incarnation: m.Incarnation, address: m.PeerAddress, client: client}
+}
+
+// Lookup implements routing.Lookup.
+func (r *routingDuty) Lookup(ctx context.Context, chain []prefix.Hash) ([]prefix.Holding, bool) {
+	peers := r.peers.Load()
+	owner := peers.owners.Owner(chain[0])
+	peer, ok := peers.clients[owner]
+	now := r.node.clock()
+	if !ok || owner == r.node.settings.VM || now.UnixNano() < peer.silent.Load() {
+		return nil, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	answer, err := peer.client.Lookup(ctx, &indexv1.LookupRequest{Blocks: toNumbers(chain)})
+	if err != nil {
+		peer.silent.Store(now.Add(peerPause).UnixNano())
+		return nil, false
+	}
+	holdings := make([]prefix.Holding, 0, len(answer.Holdings))
+	for _, h := range answer.Holdings {
+		holdings = append(holdings, prefix.Holding{Ref: fromTarget(h.Target), Blocks: int(h.Blocks)})
+	}
+	return holdings, true
+}
+
+// publish sends each batch to its owner. It reports false if one of them has
+// to get the whole content.
+func (r *routingDuty) publish(ctx context.Context, batches map[string]prefix.Batch) bool {
+	whole := true
+	for owner, b := range batches {
+		if owner == r.node.settings.VM {
+			whole = !r.index.Apply(b) && whole
+			continue
+		}
+		whole = r.publishTo(ctx, owner, &indexv1.PublishRequest{Batches: []*indexv1.Batch{fromBatch(b)}}) && whole
+	}
+	return whole
+}
+
+func (r *routingDuty) publishTo(ctx context.Context, owner string, req *indexv1.PublishRequest) bool {
+	peer, ok := r.peers.Load().clients[owner]
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	answer, err := peer.client.Publish(ctx, req)
+	return err == nil && len(answer.Resync) == 0
+}
+
+// publishPredictions tells the owners of chains what this VM chose.
+func (r *routingDuty) publishPredictions(ctx context.Context) {
+	for {
+		p, ok := r.predictions.Pop(ctx)
+		if !ok {
+			return
+		}
+		owners := r.peers.Load().owners
+		requests := make(map[string]*indexv1.PublishRequest)
+		for n := 0; ok && n < maxPredictionBatch; n++ {
+			owner := owners.Owner(p.chain[0])
+			if requests[owner] == nil {
+				requests[owner] = &indexv1.PublishRequest{}
+			}
+			requests[owner].Predictions = append(requests[owner].Predictions, fromPrediction(p))
+			p, ok = r.predictions.TryPop()
+		}
+		for owner, req := range requests {
+			r.publishTo(ctx, owner, req)
+		}
+	}
+}
+
+// indexServer implements the index service for one VM.
+type indexServer struct{ duty *routingDuty }
+
+// Publish implements indexv1.IndexService.
+func (s indexServer) Publish(_ context.Context, req *indexv1.PublishRequest) (*indexv1.PublishResponse, error) {
+	answer := &indexv1.PublishResponse{}
+	for _, b := range req.Batches {
+		if s.duty.index.Apply(toBatch(b)) {
+			answer.Resync = append(answer.Resync, b.Target.GetId())
+		}
+	}
+	for _, p := range req.Predictions {
+		if len(p.Blocks) <= prefix.MaxBlocks {
+			s.duty.index.Predict(fromTarget(p.Target), toHashes(p.Blocks), int(p.Held))
+		}
+	}
+	return answer, nil
+}
+
+// Lookup implements indexv1.IndexService.
+func (s indexServer) Lookup(_ context.Context, req *indexv1.LookupRequest) (*indexv1.LookupResponse, error) {
+	answer := &indexv1.LookupResponse{}
+	for _, h := range s.duty.index.Lookup(nil, toHashes(req.Blocks)) {
+		answer.Holdings = append(answer.Holdings, &indexv1.Holding{Target: toTarget(h.Ref), Blocks: uint32(h.Blocks)})
+	}
+	return answer, nil
+}
+
+func toTarget(ref target.Ref) *indexv1.Target {
+	return &indexv1.Target{Id: ref.ID, Incarnation: ref.Incarnation}
+}
+
+func fromTarget(t *indexv1.Target) target.Ref {
+	return target.Ref{ID: t.GetId(), Incarnation: t.GetIncarnation()}
+}
+
+func toNumbers(chain []prefix.Hash) []uint64 {
+	out := make([]uint64, len(chain))
+	for i, h := range chain {
+		out[i] = uint64(h)
+	}
+	return out
+}
+
+func toHashes(numbers []uint64) []prefix.Hash {
+	out := make([]prefix.Hash, len(numbers))
+	for i, n := range numbers {
+		out[i] = prefix.Hash(n)
+	}
+	return out
+}
+
+func fromPrediction(p prediction) *indexv1.Prediction {
+	return &indexv1.Prediction{Target: toTarget(p.ref), Blocks: toNumbers(p.chain), Held: uint32(p.held)}
+}
+
+func fromBatch(b prefix.Batch) *indexv1.Batch {
+	out := &indexv1.Batch{Target: toTarget(b.Ref), Stream: b.Stream, Reset_: b.Reset, Through: b.Through}
+	for _, e := range b.Events {
+		kind := indexv1.EventKind_EVENT_KIND_STORED
+		if e.Kind == prefix.Evicted {
+			kind = indexv1.EventKind_EVENT_KIND_EVICTED
+		}
+		out.Events = append(out.Events, &indexv1.Event{Sequence: e.Sequence, Kind: kind, Blocks: toNumbers(e.Blocks), AgeMs: e.AgeMS})
+	}
+	return out
+}
+
+func toBatch(b *indexv1.Batch) prefix.Batch {
+	out := prefix.Batch{Ref: fromTarget(b.Target), Stream: b.Stream, Reset: b.Reset_, Through: b.Through}
+	for _, e := range b.Events {
+		kind := prefix.Stored
+		if e.Kind == indexv1.EventKind_EVENT_KIND_EVICTED {
+			kind = prefix.Evicted
+		}
+		out.Events = append(out.Events, prefix.Event{Sequence: e.Sequence, Kind: kind, Blocks: toHashes(e.Blocks), AgeMS: e.AgeMs})
+	}
+	return out
+}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -57,6 +57,9 @@
 	gossip    *gossip.Conn
 	callers   *callerhttp.Server
 
+	// routing shares the index of cached blocks.
+	routing *routingDuty
+
 	// parts make up the replicated state; duties add theirs before
 	// startControl runs. log is nil on a VM that cannot reach any voter yet.
 	parts map[control.Kind]control.Part
@@ -86,6 +89,7 @@
 		n.startControl,
 		n.startStatus,
 		n.startPeers,
+		n.startRouting,
 		n.startCallers,
 	}
 	for _, step := range steps {
--- /dev/null
+++ b/internal/daemon/routing_test.go
@@ -0,0 +1,171 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cuminwing/cuminwing/internal/adapter/targethttp"
+	"github.com/cuminwing/cuminwing/internal/config"
+	"github.com/cuminwing/cuminwing/internal/membership"
+	"github.com/cuminwing/cuminwing/internal/prefix"
+	"github.com/cuminwing/cuminwing/internal/routing"
+	"github.com/cuminwing/cuminwing/internal/serving"
+	"github.com/cuminwing/cuminwing/internal/settings"
+	"github.com/cuminwing/cuminwing/internal/standin"
+	"github.com/cuminwing/cuminwing/internal/target"
+)
+
+// routingVM is the routing duty of a VM with its listeners.
+type routingVM struct {
+	*Node
+	picker *routing.Picker
+}
+
+func startRoutingVMs(t *testing.T, n int) []routingVM {
+	t.Helper()
+	vms := make([]routingVM, n)
+	for i := range vms {
+		s := settings.Settings{VM: fmt.Sprint("vm-", i), Zone: "a", Region: "r", Slot: i}
+		for _, a := range []*string{&s.TargetAddress, &s.PeerAddress, &s.AdminAddress} {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			*a = l.Addr().String()
+			l.Close()
+		}
+		vms[i].Node = newNode(s, Options{})
+		vms[i].picker = vms[i].newPicker()
+	}
+	members := func() (all []membership.Member) {
+		for _, vm := range vms {
+			if vm.ctx.Err() == nil {
+				all = append(all, vm.self())
+			}
+		}
+		return all
+	}
+	for _, vm := range vms {
+		vm.routing.members = members
+		t.Cleanup(vm.Close)
+		for _, step := range []func() error{vm.startPeers, vm.startRouting} {
+			if err := step(); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	// Membership spreads announcements in a whole VM.
+	announce := targethttp.AnnounceHandler(func(a target.Announcement) {
+		for _, vm := range vms {
+			vm.registry.Announce(a, time.Now())
+		}
+	})
+	if err := vms[0].listen(vms[0].settings.TargetAddress, &http.Server{Handler: announce}); err != nil {
+		t.Fatal(err)
+	}
+	return vms
+}
+
+func startEngine(t *testing.T, vms []routingVM, id string, cache standin.CacheOptions) *standin.Engine {
+	t.Helper()
+	o := standin.EngineOptions{ID: id, Zone: "a", Region: "r", Model: "m", Version: "v1", Cache: cache}
+	o.Announce = []string{"http://" + vms[0].settings.TargetAddress}
+	e, err := standin.StartEngine("127.0.0.1:0", o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Close)
+	return e
+}
+
+func eventually(t *testing.T, what string, check func() bool) {
+	t.Helper()
+	for range 500 {
+		if check() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("not reached: " + what)
+}
+
+func promptCall(workspace, prompt string) *serving.Call {
+	doc := config.Document{Models: map[string]config.Model{"m": {ServingVersion: "v1", BlockTokens: 10}}}
+	call := &serving.Call{ID: "r", Workspace: workspace, Model: "m", Version: "v1", Snapshot: config.NewSnapshot(doc, 1)}
+	call.Route.FirstTokenTimeoutMS, call.Route.TokenGapTimeoutMS = 5000, 5000
+	call.Path, call.Prompt = "/v1/completions", prompt
+	call.Body = []byte(fmt.Sprintf(`{"prompt":%q,"max_tokens":1}`, prompt))
+	call.PromptTokens = len(prompt) / 4
+	return call
+}
+
+// send runs one request as serving does and returns the target and the number
+// of reused tokens.
+func send(t *testing.T, vm routingVM, call *serving.Call) (string, int) {
+	t.Helper()
+	pick, refusal := vm.picker.Pick(context.Background(), serving.PickRequest{Call: call})
+	if refusal != nil {
+		t.Fatal(refusal)
+	}
+	stream, err := targethttp.NewEngines(nil).Open(context.Background(), pick.Target, serving.EngineRequest{Call: call, Prefix: pick.Prefix})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stream.Close()
+	chunk, err := stream.Next(5 * time.Second)
+	pick.Done(serving.AttemptResult{Err: err, CachedTokens: chunk.CachedTokens})
+	return pick.Target.ID, chunk.CachedTokens
+}
+
+// Guards against VMs that do not share what they know: a prompt that one VM
+// sent is found by the others, also after events were lost, in another
+// workspace never, and after the owner of the chain is gone.
+func TestVMsShareIndex(t *testing.T) {
+	vms := startRoutingVMs(t, 3)
+	cache := standin.CacheOptions{Blocks: 1000, BlockTokens: 10, EventLoss: 0.3}
+	for i := range 4 {
+		startEngine(t, vms, fmt.Sprint("e", i), cache)
+	}
+	eventually(t, "engines announced", func() bool { return len(vms[2].registry.All()) == 4 })
+	want := map[int]string{}
+	for i := range 12 {
+		want[i], _ = send(t, vms[i%3], promptCall("w", prompt(i)))
+	}
+	eventually(t, "all VMs find all prompts", func() bool { return sharedBy(vms, want) })
+	for i, id := range want {
+		if got, cached := send(t, vms[(i+1)%3], promptCall("w", prompt(i))); got != id || cached != 50 {
+			t.Errorf("prompt %d went to %s with %d cached tokens, want %s", i, got, cached, id)
+		}
+		if _, cached := send(t, vms[i%3], promptCall("x", prompt(i))); cached != 0 {
+			t.Errorf("prompt %d of another workspace reuses %d tokens", i, cached)
+		}
+	}
+	vms[2].Close()
+	eventually(t, "the other VMs own all prompts", func() bool { return sharedBy(vms[:2], want) })
+}
+
+func prompt(i int) string { return strings.Repeat(fmt.Sprintf("%04d", i), 50) }
+
+// sharedBy reports whether each VM finds every prompt at its engine.
+func sharedBy(vms []routingVM, want map[int]string) bool {
+	for _, vm := range vms {
+		for i, id := range want {
+			scope := prefix.Scope{Workspace: "w", Model: "m", Version: "v1"}
+			chain := prefix.AppendChain(nil, scope.Digest(), prompt(i), 10)
+			holdings, ok := vm.routing.Lookup(context.Background(), chain)
+			if !ok {
+				holdings = vm.routing.index.Lookup(nil, chain)
+			}
+			if !slices.ContainsFunc(holdings, func(h prefix.Holding) bool { return h.Ref.ID == id && h.Blocks == 5 }) {
+				return false
+			}
+		}
+	}
+	return true
+}
--- a/internal/daemon/serving.go
+++ b/internal/daemon/serving.go
@@ -2,30 +2,23 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 
 	"github.com/cuminwing/cuminwing/internal/adapter/callerhttp"
 	"github.com/cuminwing/cuminwing/internal/adapter/targethttp"
 	"github.com/cuminwing/cuminwing/internal/config"
 	"github.com/cuminwing/cuminwing/internal/keys"
-	"github.com/cuminwing/cuminwing/internal/routing"
 	"github.com/cuminwing/cuminwing/internal/serving"
 )
 
 // startServing builds the request path.
 func (n *Node) startServing() error {
-	picker := &routing.LeastOutstanding{
-		Registry: n.registry,
-		Clock:    n.clock,
-		Rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-	}
 	service := &serving.Service{
 		Clock:    n.clock,
 		Limiter:  unlimited{},
 		Queue:    unordered{},
 		Claims:   noClaims{},
-		Picker:   picker,
+		Picker:   n.newPicker(),
 		Retries:  alwaysRetry{},
 		Engines:  targethttp.NewEngines(n.options.Dial),
 		Ledger:   discardLedger{},
--- a/internal/prefix/index.go
+++ b/internal/prefix/index.go
@@ -36,8 +36,8 @@
 type Batch struct {
 	// Ref is the incarnation that the events come from.
 	Ref target.Ref
-	// Stream identifies the numbering; batches of a superseded stream are
-	// ignored.
+	// Stream identifies the numbering, chosen at random; batches of a
+	// superseded stream are ignored.
 	Stream uint64
 	// Reset starts a stream: the events are the whole content of the cache.
 	Reset bool
@@ -118,7 +118,8 @@
 	}
 	s := &x.slots[known.slot]
 	if s.stream != b.Stream {
-		return s.stream == 0
+		// The sender starts a new stream if it is still the reader.
+		return true
 	}
 	return x.applyNumbered(known.slot, b)
 }
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -44,7 +44,7 @@
 	Health Health
 	// Predicted tells the owner of a chain of a prediction; may be nil. It
 	// must not block.
-	Predicted func(ref target.Ref, chain []prefix.Hash)
+	Predicted func(ref target.Ref, chain []prefix.Hash, held int)
 	// Zone and Region are where this VM runs.
 	Zone, Region string
 
@@ -199,7 +199,7 @@
 		p.Index.Predict(ref, q.chain, c.blocks)
 		p.recent.add(q.now, ref, q.chain)
 		if p.Predicted != nil {
-			p.Predicted(ref, q.chain)
+			p.Predicted(ref, q.chain, c.blocks)
 		}
 	}
 	if c.imports {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -27,8 +27,10 @@
 	Announce []string
 	// TokenInterval is the time between tokens.
 	TokenInterval time.Duration
-	// BatchSlots is the number of concurrent requests.
+	// BatchSlots is the number of concurrent requests; zero means no limit.
 	BatchSlots int
+	// Cache describes the prefix cache.
+	Cache CacheOptions
 }
 
 // Engine is a stand-in model engine. Its answers are a function of the
@@ -44,6 +46,7 @@
 	stop        context.CancelFunc
 	done        sync.WaitGroup
 	leaving     atomic.Bool
+	kv          *kvEngine
 }
 
 // StartEngine listens on address and announces the engine until it is closed.
@@ -62,6 +65,8 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/chat/completions", e.complete)
 	mux.HandleFunc("POST /v1/completions", e.complete)
+	e.kv = newKVEngine(e.incarnation, options)
+	e.kv.register(mux)
 	e.server = &http.Server{Handler: mux}
 	e.done.Go(func() { _ = e.server.Serve(listener) })
 	e.done.Go(func() { e.announceLoop(ctx) })
@@ -105,7 +110,7 @@
 		ID:           o.ID,
 		Incarnation:  e.incarnation,
 		Sequence:     e.sequence.Add(1),
-		Kind:         target.KindEngine,
+		Kind:         o.Cache.kind(),
 		Zone:         o.Zone,
 		Region:       o.Region,
 		URL:          e.URL(),
@@ -113,8 +118,9 @@
 		Version:      o.Version,
 		Role:         "mixed",
 		BatchSlots:   o.BatchSlots,
-		Capabilities: target.Capabilities{Resume: true, Priority: true},
-		Load:         target.Load{Running: int(e.running.Load())},
+		CacheBlocks:  o.Cache.Blocks,
+		Capabilities: target.Capabilities{Resume: true, Priority: true, KV: o.Cache.Blocks > 0},
+		Load:         e.kv.load.report(),
 		Leaving:      e.leaving.Load(),
 	}
 }
@@ -147,6 +153,12 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	release, cached, ok := e.kv.begin(r, len(req.Messages)+len(req.Prompt))
+	if !ok {
+		return
+	}
+	defer release()
+	w.Header().Set(targethttp.HeaderCachedTokens, strconv.Itoa(cached))
 	start := 0
 	if req.Resume != nil {
 		start = req.Resume.Offset
