--- a/internal/adapter/replica/log.go
+++ b/internal/adapter/replica/log.go
@@ -223,7 +223,7 @@
 	l.mu.Lock()
 	leader, age := l.leader.ID, time.Since(l.learned)
 	l.mu.Unlock()
-	if age > leaderMaxAge && l.asking.CompareAndSwap(false, true) {
+	if age > leaderMaxAge && len(l.Voters) > 0 && l.asking.CompareAndSwap(false, true) {
 		go l.refresh()
 	}
 	return leader, leader != ""
--- a/internal/adapter/targethttp/engine.go
+++ b/internal/adapter/targethttp/engine.go
@@ -160,6 +160,7 @@
 	httpReq.Header.Set(HeaderRequestID, req.Call.ID)
 	httpReq.Header.Set(HeaderPriority, strconv.Itoa(req.Priority))
 	httpReq.Header.Set(HeaderAttempt, strconv.Itoa(req.Attempt))
+	setPrefixHeaders(httpReq.Header, req.Prefix)
 	if req.ResumeOffset > 0 {
 		httpReq.Header.Set(HeaderResumeOffset, strconv.Itoa(req.ResumeOffset))
 	}
