Count requests against objectives and serve the burn report

Cause: nothing observed how well requests were served. Change: burn counters per objective, workspace and minute, merged over VMs on request; expvar counters; counters of VMs with a disk survive a restart.

--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -66,9 +66,10 @@
 
 	// parts make up the replicated state; duties add theirs before
 	// startControl runs. log is nil on a VM that cannot reach any voter yet.
-	parts map[control.Kind]control.Part
-	log   control.Log
-	rates *rates
+	parts    map[control.Kind]control.Part
+	log      control.Log
+	rates    *rates
+	observer *observer
 	// replica is nil on a VM without a disk.
 	replica *replica.Replica
 
@@ -93,6 +94,7 @@
 		n.startMembership,
 		n.startTargets,
 		n.startRates,
+		n.startObserver,
 		n.startServing,
 		n.startControl,
 		n.startStatus,
--- /dev/null
+++ b/internal/daemon/observer.go
@@ -0,0 +1,169 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cuminwing/cuminwing/internal/adapter/metrics"
+	"github.com/cuminwing/cuminwing/internal/adapter/statefile"
+	"github.com/cuminwing/cuminwing/internal/burn"
+	"github.com/cuminwing/cuminwing/internal/ring"
+	"github.com/cuminwing/cuminwing/internal/serving"
+	burnv1 "github.com/cuminwing/cuminwing/proto/burn/v1"
+)
+
+const (
+	// sampleRing is about a second of samples at 4,600 requests a second.
+	sampleRing = 4096
+	// burnSaveInterval is how much of the counters a crash may lose.
+	burnSaveInterval = time.Minute
+	burnFile         = "burn.state"
+	collectTimeout   = 2 * time.Second
+)
+
+// observer is the duty that counts finished requests.
+type observer struct {
+	node    *Node
+	samples *ring.Ring[serving.Sample]
+	tracker *burn.Tracker
+	metrics *metrics.Set
+}
+
+// startObserver counts requests and serves the burn report.
+func (n *Node) startObserver() error {
+	o := &observer{
+		node:    n,
+		samples: ring.New[serving.Sample](sampleRing),
+		tracker: burn.NewTracker(n.settings.VM, n.clock()),
+		metrics: metrics.New(n.settings.VM),
+	}
+	n.observer = o
+	o.load()
+	o.publish()
+	server := burnv1.NewBurnServiceServer(o)
+	n.peerMux.Handle(server.PathPrefix(), server)
+	n.adminMux.Handle(server.PathPrefix(), server)
+	n.adminMux.Handle("GET /debug/vars", metrics.Handler())
+	n.duty(o.run)
+	return nil
+}
+
+// Observe implements serving.Observer. A full ring drops the sample and counts
+// it, so that observation never delays a request.
+func (o *observer) Observe(s serving.Sample) {
+	if !o.samples.Push(s) {
+		o.metrics.Add("samples_dropped", 1)
+	}
+}
+
+func (o *observer) publish() {
+	n := o.node
+	o.metrics.Gauge("running_requests", func() any { return n.callers.Active() })
+	o.metrics.Gauge("config_revision", func() any { return n.self().ConfigRevision })
+	o.metrics.Gauge("live_vms", func() any { return len(n.members()) })
+	o.metrics.Gauge("targets", func() any { return len(n.registry.All()) })
+	o.metrics.Gauge("withdrawn_keys", func() any { return len(n.withdrawn.All()) })
+}
+
+func (o *observer) run(ctx context.Context) {
+	o.node.duty(func(ctx context.Context) { every(ctx, burnSaveInterval, o.save) })
+	for {
+		s, ok := o.samples.Pop(ctx)
+		if !ok {
+			o.save()
+			return
+		}
+		o.metrics.Observe(s)
+		if snap := o.node.Snapshot(); snap != nil {
+			o.tracker.Observe(o.node.clock(), snap.Document.Objectives, s)
+		}
+	}
+}
+
+func (o *observer) file() string {
+	return filepath.Join(o.node.settings.DataFolder, burnFile)
+}
+
+func (o *observer) load() {
+	if o.node.settings.DataFolder == "" {
+		return
+	}
+	data, err := statefile.Read(o.file())
+	if errors.Is(err, os.ErrNotExist) {
+		return
+	}
+	var summary burnv1.Summary
+	if err == nil {
+		err = proto.Unmarshal(data, &summary)
+	}
+	if err != nil {
+		o.node.logger.Warn("stored burn counters are not usable; the report starts empty", zap.Error(err))
+		return
+	}
+	o.tracker.Restore(&summary)
+}
+
+func (o *observer) save() {
+	if o.node.settings.DataFolder == "" {
+		return
+	}
+	data, err := proto.Marshal(o.tracker.Summary(o.node.clock()))
+	if err == nil {
+		err = statefile.Write(o.file(), data)
+	}
+	if err != nil {
+		o.metrics.Add("burn_save_errors", 1)
+	}
+}
+
+// Collect implements burnv1.BurnService.
+func (o *observer) Collect(context.Context, *burnv1.CollectRequest) (*burnv1.Summary, error) {
+	return o.tracker.Summary(o.node.clock()), nil
+}
+
+// Report implements burnv1.BurnService: it merges the counters of all live
+// VMs and names those that did not answer.
+func (o *observer) Report(ctx context.Context, _ *burnv1.ReportRequest) (*burnv1.ReportResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, collectTimeout)
+	defer cancel()
+	summaries, missing := o.collectAll(ctx)
+	now := o.node.clock()
+	snap := o.node.Snapshot()
+	if snap == nil {
+		return &burnv1.ReportResponse{Time: now.Unix(), MissingVms: missing}, nil
+	}
+	report := burn.Report(now, snap.Document.Objectives, summaries)
+	report.MissingVms = missing
+	return report, nil
+}
+
+func (o *observer) collectAll(ctx context.Context) (summaries []*burnv1.Summary, missing []string) {
+	summaries = append(summaries, o.tracker.Summary(o.node.clock()))
+	var mu sync.Mutex
+	var calls sync.WaitGroup
+	for _, m := range o.node.members() {
+		if m.VM == o.node.settings.VM {
+			continue
+		}
+		calls.Go(func() {
+			client := burnv1.NewBurnServiceProtobufClient(o.node.peerURL(m.PeerAddress), o.node.peerClient)
+			s, err := client.Collect(ctx, &burnv1.CollectRequest{})
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				missing = append(missing, m.VM)
+				return
+			}
+			summaries = append(summaries, s)
+		})
+	}
+	calls.Wait()
+	return summaries, missing
+}
--- a/internal/daemon/passthrough.go
+++ b/internal/daemon/passthrough.go
@@ -31,7 +31,3 @@
 type discardLedger struct{}
 
 func (discardLedger) Record(serving.UsageRecord) {}
-
-type discardObserver struct{}
-
-func (discardObserver) Observe(serving.Sample) {}
--- a/internal/daemon/serving.go
+++ b/internal/daemon/serving.go
@@ -24,7 +24,7 @@
 		Engines:  targethttp.NewEngines(n.options.Dial),
 		Services: targethttp.NewServices(n.options.Dial),
 		Ledger:   discardLedger{},
-		Observer: discardObserver{},
+		Observer: n.observer,
 	}
 	n.callers = &callerhttp.Server{
 		Snapshot: n.Snapshot,
