Check documents against a published JSON schema

The schema is embedded and reports every problem with its path; edits check only the members that they change. New cross-section checks cover the roll-out version, token times of service routes, objectives' workspaces and floors that would admit nothing.

--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -21,18 +20,17 @@
 	return buf.String()
 }
 
-// Parse decodes and validates a document.
+// Parse decodes and validates a document. It reports every problem found.
 func Parse(data []byte) (*Document, error) {
-	var d Document
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&d); err != nil {
-		return nil, &InvalidError{[]Problem{{Path: "$", Reason: err.Error()}}}
+	f, err := ParseFile(data)
+	if err != nil {
+		return nil, err
 	}
-	if problems := d.Validate(); len(problems) > 0 {
+	d, problems := f.Document()
+	if len(problems) > 0 {
 		return nil, &InvalidError{problems}
 	}
-	return &d, nil
+	return d, nil
 }
 
 // LoadFile reads a document; an empty name gives none.
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -30,8 +30,12 @@
 	v.checkRoutes()
 	v.checkObjectives()
 	v.checkZones()
-	sort.Slice(v.problems, func(i, j int) bool { return v.problems[i].String() < v.problems[j].String() })
-	return v.problems
+	return sortProblems(v.problems)
+}
+
+func sortProblems(problems []Problem) []Problem {
+	sort.Slice(problems, func(i, j int) bool { return problems[i].String() < problems[j].String() })
+	return problems
 }
 
 type validator struct {
@@ -49,6 +53,9 @@
 		if m.ServingVersion == "" {
 			v.addf(path+".serving_version", "is required")
 		}
+		if m.OrderedVersion != "" && m.OrderedVersion == m.ServingVersion {
+			v.addf(path+".ordered_version", "is the serving version already; leave it out once the roll-out is done")
+		}
 		if m.BlockTokens < 1 {
 			v.addf(path+".block_tokens", "must be at least 1")
 		}
@@ -109,6 +116,9 @@
 		if r.BurstTokens <= 0 {
 			v.addf(path+".burst_tokens", "must be positive")
 		}
+		if r.BurstTokens*r.FloorFraction < 1 && r.BurstTokens > 0 {
+			v.addf(path+".burst_tokens", "times floor_fraction must be at least 1 token, or a zone that is cut off admits nothing")
+		}
 		if r.FloorFraction < 0 || r.FloorFraction > 1 {
 			v.addf(path+".floor_fraction", "must be between 0 and 1")
 		}
@@ -157,6 +167,12 @@
 	if r.TokenGapTimeoutMS < 1 {
 		v.addf(path+".token_gap_timeout_ms", "must be positive")
 	}
+	if r.FirstTokenTimeoutMS > r.TimeoutMS {
+		v.addf(path+".first_token_timeout_ms", "must not exceed timeout_ms, %d", r.TimeoutMS)
+	}
+	if r.HedgeAfterMS >= r.TimeoutMS && r.HedgeAfterMS > 0 {
+		v.addf(path+".hedge_after_ms", "must be below timeout_ms, %d", r.TimeoutMS)
+	}
 	if r.HedgeAfterMS > 0 && r.Run == RunAtMostOnce {
 		v.addf(path+".hedge_after_ms", "an at-most-once route cannot be hedged")
 	}
@@ -174,6 +190,9 @@
 	if _, ok := v.doc.Models[r.Model]; !ok {
 		v.addf(path+".model", "model %q does not exist", r.Model)
 	}
+	if r.Service != "" || r.PathPrefix != "" {
+		v.addf(path, "a model route has no service and no path_prefix; callers name the model")
+	}
 	if r.Access == AccessOpen {
 		v.addf(path+".access", "a model route must be keyed because its tokens are billed")
 	}
@@ -187,6 +206,9 @@
 	if r.Service == "" {
 		v.addf(path+".service", "is required")
 	}
+	if r.Model != "" {
+		v.addf(path+".model", "a service route has no model")
+	}
 	if len(r.PathPrefix) < 2 || r.PathPrefix[0] != '/' {
 		v.addf(path+".path_prefix", "must start with / and name at least one segment")
 	}
@@ -197,11 +219,13 @@
 }
 
 func (v *validator) checkObjectives() {
-	for name, o := range v.doc.Objectives {
+	for _, name := range sortedNames(v.doc.Objectives) {
+		o := v.doc.Objectives[name]
 		path := "objectives." + name
 		if _, ok := v.doc.Routes[o.Route]; !ok {
 			v.addf(path+".route", "route %q does not exist", o.Route)
 		}
+		v.checkObjectiveScope(path, o)
 		if o.Target <= 0 || o.Target >= 1 {
 			v.addf(path+".target", "must be between 0 and 1, exclusive")
 		}
@@ -211,7 +235,32 @@
 	}
 }
 
+func (v *validator) checkObjectiveScope(path string, o Objective) {
+	route, known := v.doc.Routes[o.Route]
+	if o.Workspace != "" {
+		if _, ok := v.doc.Workspaces[o.Workspace]; !ok {
+			v.addf(path+".workspace", "workspace %q does not exist", o.Workspace)
+		}
+		if len(route.Workspaces) > 0 && !slices.Contains(route.Workspaces, o.Workspace) {
+			v.addf(path+".workspace", "route %q is not open to workspace %q", o.Route, o.Workspace)
+		}
+	}
+	latency := o.Kind == "first_token" || o.Kind == "token_gap"
+	if latency && o.ThresholdMS < 1 {
+		v.addf(path+".threshold_ms", "is required for kind %q", o.Kind)
+	}
+	if !latency && o.ThresholdMS != 0 {
+		v.addf(path+".threshold_ms", "has no meaning for kind %q", o.Kind)
+	}
+	if latency && known && route.Kind != KindModel {
+		v.addf(path+".kind", "route %q has no token times because it leads to a service", o.Route)
+	}
+}
+
 func (v *validator) checkZones() {
+	if len(v.doc.Zones) == 0 {
+		v.addf("zones", "must list at least one zone")
+	}
 	for name, z := range v.doc.Zones {
 		path := "zones." + name
 		if z.Region == "" {
--- a/internal/control/sections/part.go
+++ b/internal/control/sections/part.go
@@ -77,7 +77,7 @@
 		return
 	}
 	change := &configv1.Change{Revision: index, Previous: current.Revision, TimeMs: now.UnixMilli(), Edit: edit}
-	next, problems := current.merge(change)
+	next, problems := current.merge(change, withSchema)
 	if len(problems) == 0 {
 		problems = next.Document.Validate()
 	}
--- a/internal/control/sections/state.go
+++ b/internal/control/sections/state.go
@@ -68,15 +68,25 @@
 	if change.GetRevision() <= s.Revision {
 		return nil, fmt.Errorf("change has revision %d, but the document is at revision %d", change.GetRevision(), s.Revision)
 	}
-	next, problems := s.merge(change)
+	next, problems := s.merge(change, decodeOnly)
 	if len(problems) > 0 {
 		return nil, &config.InvalidError{Problems: problems}
 	}
 	return next, nil
 }
 
+// checking says how far a merged member is checked.
+type checking bool
+
+const (
+	// decodeOnly is for changes that the log has accepted.
+	decodeOnly checking = false
+	// withSchema is for new edits.
+	withSchema checking = true
+)
+
 // merge applies the patches of change. It reports every problem found.
-func (s *State) merge(change *configv1.Change) (*State, []config.Problem) {
+func (s *State) merge(change *configv1.Change, check checking) (*State, []config.Problem) {
 	next := &State{
 		Revision:     change.GetRevision(),
 		Sections:     maps.Clone(s.Sections),
@@ -86,19 +96,24 @@
 	}
 	var problems []config.Problem
 	for _, edit := range change.GetEdit().GetSections() {
-		problems = append(problems, next.mergeSection(change, edit)...)
+		problems = append(problems, next.mergeSection(change, edit, check)...)
 	}
 	next.remember(change)
 	return next, problems
 }
 
-func (s *State) mergeSection(change *configv1.Change, edit *configv1.SectionEdit) []config.Problem {
+func (s *State) mergeSection(change *configv1.Change, edit *configv1.SectionEdit, check checking) []config.Problem {
 	name := config.Section(edit.GetSection())
 	contents, changed, err := s.Sections[name].Contents.Merge(edit.GetPatch())
 	if err != nil {
 		return []config.Problem{{Path: string(name), Reason: err.Error()}}
 	}
 	var problems []config.Problem
+	if check == withSchema {
+		if problems = config.CheckMembers(name, contents, changed); len(problems) > 0 {
+			return problems
+		}
+	}
 	s.Document, problems = s.Document.WithMembers(name, contents, changed)
 	s.Sections[name] = Section{Revision: change.GetRevision(), EditID: change.GetEdit().GetId(), Contents: contents}
 	return problems
