Add the operators' commands for configuration, keys, status and targets

A file read by config get notes the state it was read from, so that an edit of one section neither undoes nor conflicts with edits of others. Exit codes tell refusal, conflict and partial reach apart.

kingpin went on parsing after a completion script, because the termination hook returned; the tool printed its usage behind the script.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -31,23 +31,33 @@
 type registry struct {
 	app      *kingpin.Application
 	commands map[string]command
+	// connection holds the flags for commands that call a VM.
+	connection *connection
 }
 
 func (r *registry) add(c *kingpin.CmdClause, run command) {
 	r.commands[c.FullCommand()] = run
 }
 
+// longHelpTemplate adds the long help of a command, which has the examples.
+const longHelpTemplate = `{{with .Context.SelectedCommand}}{{with .HelpLong}}{{.}}
+{{end}}{{end}}`
+
 // Run executes the tool with args and returns its exit code.
 func Run(args []string, out, errOut io.Writer) int {
 	app := kingpin.New("cuminwing", "Operates a cuminwing service.")
-	app.UsageWriter(out).ErrorWriter(errOut)
-	exit := -1
-	app.Terminate(func(code int) { exit = code })
-	r := &registry{app: app, commands: make(map[string]command)}
+	app.UsageWriter(out).ErrorWriter(errOut).UsageTemplate(kingpin.DefaultUsageTemplate + longHelpTemplate)
+	// kingpin expects that this function does not return: after --help or a
+	// completion script it would go on parsing and print the usage.
+	app.Terminate(func(code int) { panic(exitRequest(code)) })
+	r := &registry{app: app, commands: make(map[string]command), connection: &connection{}}
+	addConnectionFlags(app, r.connection)
 	addConfig(r)
 	addKeys(r)
+	addStatus(r)
+	addTargets(r)
 	addDemo(r)
-	name, err := app.Parse(args)
+	name, exit, err := parse(app, args)
 	if exit >= 0 {
 		return exit
 	}
@@ -57,3 +67,29 @@
 	}
 	return r.commands[name](out, errOut)
 }
+
+// exitRequest is the exit code that kingpin asks for.
+type exitRequest int
+
+// parse returns the name of the command, or the exit code if kingpin has done
+// all work itself; otherwise exit is negative.
+func parse(app *kingpin.Application, args []string) (name string, exit int, err error) {
+	exit = -1
+	defer func() {
+		switch p := recover().(type) {
+		case nil:
+		case exitRequest:
+			exit = int(p)
+		default:
+			panic(p)
+		}
+	}()
+	name, err = app.Parse(args)
+	return name, exit, err
+}
+
+func addConnectionFlags(app *kingpin.Application, c *connection) {
+	app.Flag("server", "Admin address of a VM as IP:port; several, separated by commas, are tried in turn.").
+		Envar("CUMINWING_SERVER").PlaceHolder("IP:PORT").StringVar(&c.servers)
+	app.Flag("output", "Output format: table or json.").Default(outputTable).EnumVar(&c.output, outputTable, outputJSON)
+}
--- /dev/null
+++ b/internal/cli/config_diff.go
@@ -0,0 +1,95 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/cuminwing/cuminwing/internal/config"
+)
+
+func addConfigDiff(r *registry, group *kingpin.CmdClause) {
+	c := group.Command("diff", "Shows what a document file would change.")
+	example(c, "Compares a document file with the configuration in force and validates the merged document. With --output json it prints the merge patch of each section.",
+		"cuminwing config diff service.json --server 10.0.0.1:7005")
+	file := c.Arg("file", "Document file.").Required().String()
+	r.add(c, r.connection.command(func(cl *client, out, _ io.Writer) (int, error) { return cl.diff(*file, out) }))
+}
+
+func (c *client) diff(name string, out io.Writer) (int, error) {
+	f, err := readFile(name)
+	if err != nil {
+		return ExitRefused, err
+	}
+	_, current, err := c.inForce()
+	if err != nil {
+		return ExitFailed, err
+	}
+	changes, err := changesOf(f, current)
+	if err != nil {
+		return ExitFailed, err
+	}
+	if err := c.printChanges(changes, out); err != nil {
+		return ExitFailed, err
+	}
+	if err := checkMerged(f, current); err != nil {
+		return ExitRefused, err
+	}
+	for _, ch := range changes {
+		if ch.base < ch.current.GetRevision() {
+			return ExitConflict, conflictError(ch)
+		}
+	}
+	return ExitOK, nil
+}
+
+func (c *client) printChanges(changes []change, out io.Writer) error {
+	if c.output == outputJSON {
+		patches := make(map[config.Section]json.RawMessage)
+		for _, ch := range changes {
+			patches[ch.section] = ch.patch
+		}
+		return printJSON(out, patches)
+	}
+	t := newTable(out, "SECTION", "NAME", "CHANGE")
+	for _, ch := range changes {
+		var patch map[string]json.RawMessage
+		if err := json.Unmarshal(ch.patch, &patch); err != nil {
+			return err
+		}
+		for _, name := range sortedKeys(patch) {
+			t.row(string(ch.section), name, describe(ch, name, patch[name]))
+		}
+	}
+	t.flush()
+	return nil
+}
+
+func describe(ch change, name string, patch json.RawMessage) string {
+	_, before := ch.from[name]
+	_, after := ch.to[name]
+	switch {
+	case !after:
+		return "removed"
+	case !before:
+		return "added " + string(patch)
+	}
+	return "changed " + string(patch)
+}
+
+func sortedKeys[T any](m map[string]T) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+func conflictError(ch change) error {
+	return fmt.Errorf("section %s was changed to revision %d by edit %s; the file was read at revision %d",
+		ch.section, ch.current.GetRevision(), ch.current.GetEditId(), ch.base)
+}
--- a/internal/cli/keys.go
+++ b/internal/cli/keys.go
@@ -4,21 +4,79 @@
 	"fmt"
 	"io"
 
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/cuminwing/cuminwing/internal/config"
 	"github.com/cuminwing/cuminwing/internal/keys"
 )
 
 func addKeys(r *registry) {
 	group := r.app.Command("keys", "Works with caller keys.")
-	create := group.Command("new", "Makes a key and prints it once, with the hash for the document.")
-	r.add(create, newKey)
+	addKeysNew(r, group)
+	addKeysWithdraw(r, group)
+	addKeysList(r, group)
 }
 
-func newKey(out, errOut io.Writer) int {
-	key, err := keys.New()
-	if err != nil {
-		fmt.Fprintln(errOut, err)
-		return ExitFailed
+func addKeysNew(r *registry, group *kingpin.CmdClause) {
+	c := group.Command("new", "Makes a key and prints it once, with its hash.")
+	example(c, "Makes a key. Only its hash goes into the document. With --workspace the hash is added to the document in force.",
+		"cuminwing keys new --workspace yards --id dispatch-2 --server 10.0.0.1:7005")
+	workspace := c.Flag("workspace", "Workspace to add the key to.").String()
+	id := c.Flag("id", "Name of the key in logs and tools; the start of its hash by default.").String()
+	r.add(c, func(out, errOut io.Writer) int {
+		key, err := keys.New()
+		if err != nil {
+			fmt.Fprintln(errOut, err)
+			return ExitFailed
+		}
+		printNewKey(key, r.connection.output, out)
+		if *workspace == "" {
+			return ExitOK
+		}
+		add := func(cl *client, out, errOut io.Writer) (int, error) {
+			return cl.addKey(*workspace, keyEntry(*id, keys.Sum(key)), out, errOut)
+		}
+		// The key is the output; the outcome of the edit is a message.
+		return r.connection.command(add)(errOut, errOut)
+	})
+}
+
+// keyIDBytes is the part of the hash that names a key by default.
+const keyIDBytes = 4
+
+func keyEntry(id string, h keys.Hash) config.Key {
+	if id == "" {
+		id = fmt.Sprintf("%x", h[:keyIDBytes])
+	}
+	return config.Key{ID: id, SHA256: h.String()}
+}
+
+func printNewKey(key, output string, out io.Writer) {
+	if output == outputJSON {
+		_ = printJSON(out, map[string]string{"key": key, "sha256": keys.Sum(key).String()})
+		return
 	}
 	fmt.Fprintf(out, "key:    %s\nsha256: %s\n", key, keys.Sum(key))
-	return ExitOK
+}
+
+// addKey adds a key to a workspace of the document in force.
+func (c *client) addKey(workspace string, key config.Key, out, errOut io.Writer) (int, error) {
+	_, current, err := c.inForce(string(config.SectionWorkspaces))
+	if err != nil {
+		return ExitFailed, err
+	}
+	section := current[config.SectionWorkspaces]
+	have, err := config.ParseContents(contentsOf(section))
+	if err != nil {
+		return ExitFailed, err
+	}
+	if _, known := have[workspace]; !known {
+		return ExitRefused, fmt.Errorf("workspace %s does not exist", workspace)
+	}
+	patch, err := have.AppendKey(workspace, key)
+	if err != nil {
+		return ExitFailed, err
+	}
+	ch := change{section: config.SectionWorkspaces, base: section.GetRevision(), patch: patch}
+	return c.send(newEdit([]change{ch}, applyOptions{comment: "new key " + key.ID}), out, errOut)
 }
--- a/internal/config/merge.go
+++ b/internal/config/merge.go
@@ -193,3 +193,16 @@
 func isNull(raw json.RawMessage) bool {
 	return bytes.Equal(bytes.TrimSpace(raw), []byte("null"))
 }
+
+// AppendKey returns the merge patch that adds a key to a workspace. A merge
+// patch replaces lists as a whole, so it repeats the keys of that workspace.
+func (c Contents) AppendKey(workspace string, key Key) ([]byte, error) {
+	var entry Workspace
+	if raw, known := c[workspace]; known {
+		if err := decodeStrict(raw, &entry); err != nil {
+			return nil, err
+		}
+	}
+	list := append(entry.Keys[:len(entry.Keys):len(entry.Keys)], key)
+	return encodeValue(map[string]any{workspace: map[string]any{"keys": list}})
+}
