--- a/internal/cli/config_history.go
+++ b/internal/cli/config_history.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"strings"
@@ -25,12 +26,12 @@
 
 // historyEntry is one edit in JSON output.
 type historyEntry struct {
-	Revision uint64            `json:"revision"`
-	Time     time.Time         `json:"time"`
-	EditID   string            `json:"edit_id"`
-	Operator string            `json:"operator"`
-	Comment  string            `json:"comment"`
-	Patches  map[string]rawMap `json:"patches"`
+	Revision uint64                     `json:"revision"`
+	Time     time.Time                  `json:"time"`
+	EditID   string                     `json:"edit_id"`
+	Operator string                     `json:"operator"`
+	Comment  string                     `json:"comment"`
+	Patches  map[string]json.RawMessage `json:"patches"`
 }
 
 func (c *client) history(limit uint32, out io.Writer) (int, error) {
@@ -61,12 +62,6 @@
 	return names
 }
 
-// rawMap is a merge patch that is valid JSON already.
-type rawMap []byte
-
-// MarshalJSON implements json.Marshaler.
-func (r rawMap) MarshalJSON() ([]byte, error) { return r, nil }
-
 func historyEntries(changes []*configv1.Change) []historyEntry {
 	entries := make([]historyEntry, 0, len(changes))
 	for _, change := range changes {
@@ -77,7 +72,7 @@
 			EditID:   edit.GetId(),
 			Operator: edit.GetOperator(),
 			Comment:  edit.GetComment(),
-			Patches:  make(map[string]rawMap),
+			Patches:  make(map[string]json.RawMessage),
 		}
 		for _, s := range edit.GetSections() {
 			e.Patches[s.GetSection()] = s.GetPatch()
