--- a/internal/cli/config_diff.go
+++ b/internal/cli/config_diff.go
@@ -4,7 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"sort"
+	"maps"
+	"slices"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -60,7 +61,7 @@
 		if err := json.Unmarshal(ch.patch, &patch); err != nil {
 			return err
 		}
-		for _, name := range sortedKeys(patch) {
+		for _, name := range slices.Sorted(maps.Keys(patch)) {
 			t.row(string(ch.section), name, describe(ch, name, patch[name]))
 		}
 	}
@@ -80,15 +81,6 @@
 	return "changed " + string(patch)
 }
 
-func sortedKeys[T any](m map[string]T) []string {
-	names := make([]string, 0, len(m))
-	for name := range m {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
-
 func conflictError(ch change) error {
 	return fmt.Errorf("section %s was changed to revision %d by edit %s; the file was read at revision %d",
 		ch.section, ch.current.GetRevision(), ch.current.GetEditId(), ch.base)
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strings"
 
 	adminv1 "github.com/cuminwing/cuminwing/proto/admin/v1"
@@ -62,7 +64,7 @@
 		return "none"
 	}
 	var parts []string
-	for _, state := range sortedKeys(answer.GetTargets()) {
+	for _, state := range slices.Sorted(maps.Keys(answer.GetTargets())) {
 		parts = append(parts, fmt.Sprintf("%d %s", answer.GetTargets()[state], state))
 	}
 	return strings.Join(parts, ", ")
--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -183,7 +183,7 @@
 // awaitMembers returns once every VM sees all others.
 func (c *testCluster) awaitMembers() {
 	c.t.Helper()
-	eventually(c.t, "all VMs are members", func() bool {
+	await(c.t, "all VMs are members", func() bool {
 		for _, n := range c.nodes {
 			if len(n.members()) != len(c.nodes) {
 				return false
@@ -268,15 +268,14 @@
 }
 
 const (
-	testKey      = "cw-test-key"
-	testWaitMost = 20 * time.Second
+	clusterKey = "cw-test-key"
 )
 
-func testDocument(unconfirmed string) config.Document {
+func clusterDocument(unconfirmed string) config.Document {
 	return config.Document{
 		Models: map[string]config.Model{"gutachter": {ServingVersion: "v1"}},
 		Workspaces: map[string]config.Workspace{"yards": {
-			Keys:              []config.Key{{ID: "k1", SHA256: hashOf(testKey)}},
+			Keys:              []config.Key{{ID: "k1", SHA256: hashOf(clusterKey)}},
 			OnUnconfirmedKeys: unconfirmed,
 			KeyLeaseMS:        config.MinKeyLeaseMS,
 		}},
@@ -317,21 +316,11 @@
 	return r.GetResult().GetRevision()
 }
 
-func eventually(t testing.TB, what string, ok func() bool) {
-	t.Helper()
-	for deadline := time.Now().Add(testWaitMost); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
-		if ok() {
-			return
-		}
-	}
-	t.Fatal("never happened: " + what)
-}
-
 // callerStatus asks for the list of models with the test key, which needs a usable
 // key but no target.
 func callerStatus(n *Node) int {
 	r := httptest.NewRequest(http.MethodGet, "/v1/models", nil)
-	r.Header.Set("Authorization", "Bearer "+testKey)
+	r.Header.Set("Authorization", "Bearer "+clusterKey)
 	w := httptest.NewRecorder()
 	n.callers.Handler().ServeHTTP(w, r)
 	return w.Code
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -61,11 +61,14 @@
 
 	distribution *distribution
 	withdrawals  *withdrawals
+	// routing shares the index of cached blocks.
+	routing *routingDuty
 
 	// parts make up the replicated state; duties add theirs before
 	// startControl runs. log is nil on a VM that cannot reach any voter yet.
 	parts map[control.Kind]control.Part
 	log   control.Log
+	rates *rates
 	// replica is nil on a VM without a disk.
 	replica *replica.Replica
 
@@ -89,6 +92,7 @@
 		n.startConfig,
 		n.startMembership,
 		n.startTargets,
+		n.startRates,
 		n.startServing,
 		n.startControl,
 		n.startStatus,
@@ -96,6 +100,7 @@
 		n.startPeers,
 		n.startDistribution,
 		n.startKeyDuties,
+		n.startRouting,
 		n.startCallers,
 	}
 	for _, step := range steps {
--- a/internal/daemon/withdrawals_test.go
+++ b/internal/daemon/withdrawals_test.go
@@ -37,9 +37,9 @@
 	withDisk := func(s *settings.Settings) { s.DataFolder = folder }
 	away := c.start(2, "nue-a", withDisk)
 	c.awaitMembers()
-	base := wantAccepted(t, applyFirst(t, home, testDocument("")))
+	base := wantAccepted(t, applyFirst(t, home, clusterDocument("")))
 	c.partition(2, true)
-	r := withdraw(t, away, testKey)
+	r := withdraw(t, away, clusterKey)
 	if r.GetCommitted() || !zoneOf(r.GetZones(), "nue-a").GetComplete() || zoneOf(r.GetZones(), "muc-a").GetComplete() {
 		t.Fatalf("the answer claims more than is confirmed: %v", r)
 	}
@@ -52,14 +52,14 @@
 		t.Fatal("the key works again after a restart")
 	}
 	// The operators at home do not know and list the key once more.
-	again := testDocument("")
+	again := clusterDocument("")
 	edit := rateEdit("again", base, 11)
 	edit.Sections[0].Section = string(config.SectionWorkspaces)
 	edit.Sections[0].Patch = []byte(`{"yards":{"keys":[{"id":"again","sha256":"` + again.Workspaces["yards"].Keys[0].SHA256 + `"}]}}`)
 	wantAccepted(t, applyEdit(t, home, edit))
 	c.partition(2, false)
-	eventually(t, "withdrawal at home", func() bool { return callerStatus(home) == http.StatusUnauthorized })
-	eventually(t, "commit in the log", func() bool { return home.withdrawals.part.Contains(keys.Sum(testKey)) })
+	await(t, "withdrawal at home", func() bool { return callerStatus(home) == http.StatusUnauthorized })
+	await(t, "commit in the log", func() bool { return home.withdrawals.part.Contains(keys.Sum(clusterKey)) })
 	if callerStatus(away) != http.StatusUnauthorized {
 		t.Fatal("the later configuration undid the withdrawal")
 	}
@@ -73,12 +73,12 @@
 			c := newTestCluster(t, 2, 1)
 			voter := c.start(0, "muc-a", nil)
 			n := c.start(1, "nue-a", nil)
-			wantAccepted(t, applyFirst(t, voter, testDocument(mode)))
+			wantAccepted(t, applyFirst(t, voter, clusterDocument(mode)))
 			confirmed := func() bool {
 				age, ok := n.distribution.lease.age(n.clock())
 				return ok && age < config.MinKeyLeaseMS*time.Millisecond && callerStatus(n) == http.StatusOK
 			}
-			eventually(t, "key is confirmed", confirmed)
+			await(t, "key is confirmed", confirmed)
 			// A voter that lost the quorum is no control VM.
 			c.log.setCut("vm-1", true)
 			c.skew.Store(int64(2 * config.MinKeyLeaseMS * time.Millisecond))
@@ -90,7 +90,7 @@
 				t.Fatalf("status %d after the lease, want %d", got, want)
 			}
 			c.log.setCut("vm-1", false)
-			eventually(t, "key is confirmed again", confirmed)
+			await(t, "key is confirmed again", confirmed)
 		})
 	}
 }
@@ -100,13 +100,13 @@
 	c := newTestCluster(t, 2, 1)
 	voter := c.start(0, "muc-a", nil)
 	n := c.start(1, "nue-a", nil)
-	ctx, cancel := keyCheck{n}.Watch(context.Background(), keys.Sum(testKey))
+	ctx, cancel := keyCheck{n}.Watch(context.Background(), keys.Sum(clusterKey))
 	defer cancel()
 	c.awaitMembers()
-	withdraw(t, voter, testKey)
+	withdraw(t, voter, clusterKey)
 	select {
 	case <-ctx.Done():
-	case <-time.After(testWaitMost):
+	case <-time.After(patience):
 		t.Fatal("the stream of the withdrawn key goes on")
 	}
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -27,8 +27,14 @@
 	Announce []string
 	// TokenInterval is the time between tokens.
 	TokenInterval time.Duration
-	// BatchSlots is the number of concurrent requests.
+	// BatchSlots is the number of concurrent requests; zero means no limit.
 	BatchSlots int
+	// StartDelay is the time before the first token.
+	StartDelay time.Duration
+	// HTTP2 announces that the engine speaks HTTP/2.
+	HTTP2 bool
+	// Cache describes the prefix cache.
+	Cache CacheOptions
 }
 
 // Engine is a stand-in model engine. Its answers are a function of the
@@ -44,6 +50,9 @@
 	stop        context.CancelFunc
 	done        sync.WaitGroup
 	leaving     atomic.Bool
+	gate        *Gate
+	faults      faults
+	kv          *kvEngine
 }
 
 // StartEngine listens on address and announces the engine until it is closed.
@@ -58,12 +67,16 @@
 		incarnation: uint64(time.Now().UnixMicro()),
 		listener:    listener,
 		stop:        cancel,
+		gate:        NewGate(listener),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/chat/completions", e.complete)
 	mux.HandleFunc("POST /v1/completions", e.complete)
-	e.server = &http.Server{Handler: mux}
-	e.done.Go(func() { _ = e.server.Serve(listener) })
+	mux.HandleFunc("POST /v1/requests/{id}/cancel", e.cancelRequest)
+	e.kv = newKVEngine(e.incarnation, options)
+	e.kv.register(mux)
+	e.server = &http.Server{Handler: mux, Protocols: standinProtocols()}
+	e.done.Go(func() { _ = e.server.Serve(e.gate) })
 	e.done.Go(func() { e.announceLoop(ctx) })
 	return e, nil
 }
@@ -78,6 +91,7 @@
 func (e *Engine) Close() {
 	e.stop()
 	_ = e.server.Close()
+	e.gate.Release()
 	e.done.Wait()
 }
 
@@ -105,7 +119,7 @@
 		ID:           o.ID,
 		Incarnation:  e.incarnation,
 		Sequence:     e.sequence.Add(1),
-		Kind:         target.KindEngine,
+		Kind:         o.Cache.kind(),
 		Zone:         o.Zone,
 		Region:       o.Region,
 		URL:          e.URL(),
@@ -113,8 +127,9 @@
 		Version:      o.Version,
 		Role:         "mixed",
 		BatchSlots:   o.BatchSlots,
-		Capabilities: target.Capabilities{Resume: true, Priority: true},
-		Load:         target.Load{Running: int(e.running.Load())},
+		CacheBlocks:  o.Cache.Blocks,
+		Capabilities: target.Capabilities{Resume: true, Priority: true, KV: o.Cache.Blocks > 0, HTTP2: o.HTTP2},
+		Load:         e.kv.load.report(),
 		Leaving:      e.leaving.Load(),
 	}
 }
@@ -125,6 +140,9 @@
 	Messages            json.RawMessage    `json:"messages"`
 	Prompt              json.RawMessage    `json:"prompt"`
 	Resume              *targethttp.Resume `json:"resume"`
+	StreamOptions       struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
 }
 
 const defaultAnswerTokens = 32
@@ -147,6 +165,17 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	ctx, end := e.faults.begin(r)
+	defer end()
+	if e.faults.refuse(w) {
+		return
+	}
+	release, cached, ok := e.kv.begin(r, len(req.Messages)+len(req.Prompt))
+	if !ok {
+		return
+	}
+	defer release()
+	w.Header().Set(targethttp.HeaderCachedTokens, strconv.Itoa(cached))
 	start := 0
 	if req.Resume != nil {
 		start = req.Resume.Offset
@@ -162,12 +191,23 @@
 	}
 	seed := promptSeed(req)
 	total := req.tokens()
+	if !sleep(ctx, e.options.StartDelay) {
+		return
+	}
+	start = e.faults.repeat(start)
 	for i := start; i < total; i++ {
-		if out.token(i, Word(seed, i)) != nil || !sleep(r.Context(), e.options.TokenInterval) {
+		if !e.faults.beforeToken(ctx, &out, i-start) {
+			return
+		}
+		if out.token(i, Word(seed, i)) != nil || !sleep(ctx, e.options.TokenInterval) {
 			return
 		}
 	}
 	out.finish(total)
+	if req.StreamOptions.IncludeUsage {
+		out.usage(total)
+	}
+	out.done()
 }
 
 func promptSeed(req engineRequest) uint64 {
@@ -209,9 +249,10 @@
 
 func (o *eventWriter) finish(offset int) {
 	reason := "stop"
-	if o.event(offset, 0, "", &reason) != nil {
-		return
-	}
+	_ = o.event(offset, 0, "", &reason)
+}
+
+func (o *eventWriter) done() {
 	_, _ = fmt.Fprint(o.w, "data: [DONE]\n\n")
 	_ = o.flusher.Flush()
 }
