Record at-most-once requests in the control log

Cause: at-most-once routes refused every request, and retries had no bounds.

Change: internal/idempotency has the part of the replicated state (claim, complete, release, expiry by log time, bounded bodies) and the client, which reads a claim back under the same request ID after a lost answer and withdraws it when it gives up. internal/retry has budgets of extra attempts, breakers with a slow return and outlier penalties. internal/replica picks replicas of plain services.

--- a/internal/daemon/passthrough.go
+++ b/internal/daemon/passthrough.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cuminwing/cuminwing/internal/config"
-	"github.com/cuminwing/cuminwing/internal/control"
 	"github.com/cuminwing/cuminwing/internal/serving"
 )
 
@@ -25,25 +24,6 @@
 	return func(int, int) {}, nil
 }
 
-// noClaims refuses every at-most-once request, which is true to its promise.
-type noClaims struct{}
-
-func (noClaims) Claim(context.Context, serving.Claim) (serving.ClaimStatus, serving.StoredAnswer) {
-	return serving.ClaimUnreachable, serving.StoredAnswer{}
-}
-
-func (noClaims) Complete(context.Context, serving.Claim, serving.StoredAnswer) error {
-	return control.ErrNotCommitted
-}
-
-func (noClaims) Release(context.Context, serving.Claim) error { return control.ErrNotCommitted }
-
-type alwaysRetry struct{}
-
-func (alwaysRetry) Allow(string, string) bool { return true }
-
-func (alwaysRetry) Finished(string, string) {}
-
 type discardLedger struct{}
 
 func (discardLedger) Record(serving.UsageRecord) {}
--- /dev/null
+++ b/internal/daemon/picker.go
@@ -0,0 +1,59 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/cuminwing/cuminwing/internal/config"
+	"github.com/cuminwing/cuminwing/internal/control"
+	"github.com/cuminwing/cuminwing/internal/idempotency"
+	"github.com/cuminwing/cuminwing/internal/replica"
+	"github.com/cuminwing/cuminwing/internal/retry"
+	"github.com/cuminwing/cuminwing/internal/serving"
+)
+
+// targetPicker sends calls of models and of services to their pickers and
+// reports the results of the attempts to health.
+type targetPicker struct {
+	engines  serving.Picker
+	services serving.Picker
+	health   *retry.Health
+}
+
+// newTargetPicker adds the choice of service replicas to that of engines.
+func (n *Node) newTargetPicker(engines serving.Picker, health *retry.Health) serving.Picker {
+	services := &replica.Picker{Registry: n.registry, Clock: n.clock, Zone: n.settings.Zone, Region: n.settings.Region, Health: health}
+	return targetPicker{engines, services, health}
+}
+
+// Pick implements serving.Picker.
+func (p targetPicker) Pick(ctx context.Context, req serving.PickRequest) (*serving.Pick, *serving.Refusal) {
+	picker := p.engines
+	if req.Call.Route.Kind == config.KindService {
+		picker = p.services
+	}
+	pick, refusal := picker.Pick(ctx, req)
+	if refusal != nil {
+		return nil, refusal
+	}
+	p.health.Begin(pick.Target)
+	done := pick.Done
+	return &serving.Pick{
+		Target:               pick.Target,
+		ExpectedCachedTokens: pick.ExpectedCachedTokens,
+		Done: func(result serving.AttemptResult) {
+			p.health.End(pick.Target, result)
+			done(result)
+		},
+	}, nil
+}
+
+// startClaims adds the records of at-most-once requests to the replicated
+// state and returns the way to them.
+func (n *Node) startClaims() serving.Claims {
+	n.parts[control.KindClaims] = idempotency.NewPart()
+	return &idempotency.Client{
+		Log:        func() control.Log { return n.log },
+		Pause:      idempotency.Sleep,
+		Background: func(f func(context.Context)) { go f(n.ctx) },
+	}
+}
--- a/internal/daemon/serving.go
+++ b/internal/daemon/serving.go
@@ -10,6 +10,7 @@
 	"github.com/cuminwing/cuminwing/internal/adapter/targethttp"
 	"github.com/cuminwing/cuminwing/internal/config"
 	"github.com/cuminwing/cuminwing/internal/keys"
+	"github.com/cuminwing/cuminwing/internal/retry"
 	"github.com/cuminwing/cuminwing/internal/routing"
 	"github.com/cuminwing/cuminwing/internal/serving"
 )
@@ -21,13 +22,14 @@
 		Clock:    n.clock,
 		Rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	health := retry.NewHealth(n.clock)
 	service := &serving.Service{
 		Clock:    n.clock,
 		Limiter:  unlimited{},
 		Queue:    unordered{},
-		Claims:   noClaims{},
-		Picker:   picker,
-		Retries:  alwaysRetry{},
+		Claims:   n.startClaims(),
+		Picker:   n.newTargetPicker(picker, health),
+		Retries:  retry.NewBudgets(),
 		Engines:  targethttp.NewEngines(n.options.Dial),
 		Services: targethttp.NewServices(n.options.Dial),
 		Ledger:   discardLedger{},
--- /dev/null
+++ b/internal/idempotency/client.go
@@ -0,0 +1,217 @@
+package idempotency
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cuminwing/cuminwing/internal/control"
+	"github.com/cuminwing/cuminwing/internal/serving"
+	claimsv1 "github.com/cuminwing/cuminwing/proto/claims/v1"
+)
+
+const (
+	// claimWait bounds how long a request waits for its claim.
+	claimWait = 5 * time.Second
+	// settleWait is how long the client goes on trying to record an outcome.
+	// It covers an election and a restart of a voter.
+	settleWait = time.Minute
+	// firstPause and maxPause bound the pause between two tries.
+	firstPause = 5 * time.Millisecond
+	maxPause   = time.Second
+)
+
+// Client implements serving.Claims over the control log.
+type Client struct {
+	// Log returns the control log; nil while there is none.
+	Log func() control.Log
+	// Pause waits before another try. It reports false if ctx ended.
+	Pause func(ctx context.Context, d time.Duration) bool
+	// Background runs f until it returns or the VM stops.
+	Background func(f func(ctx context.Context))
+}
+
+var _ serving.Claims = (*Client)(nil)
+
+var (
+	errNoLog   = errors.New("there is no control log")
+	errRefused = errors.New("the record belongs to another request")
+)
+
+// Claim implements serving.Claims. If the answer of the log is lost, it asks
+// again under the same request ID, which reads the claim back if it was
+// committed.
+func (c *Client) Claim(ctx context.Context, claim serving.Claim) (serving.ClaimStatus, serving.StoredAnswer) {
+	ctx, cancel := context.WithTimeout(ctx, claimWait)
+	defer cancel()
+	body := encodeClaim(claim)
+	uncertain := false
+	for pause := firstPause; ; pause = min(2*pause, maxPause) {
+		result, err := c.propose(ctx, body)
+		if err == nil {
+			if status, known := claimStatus(result.GetOutcome()); known {
+				return status, storedAnswer(result.GetAnswer())
+			}
+			return serving.ClaimUncertain, serving.StoredAnswer{}
+		}
+		if errors.Is(err, control.ErrNotCommitted) && !uncertain {
+			return serving.ClaimUnreachable, serving.StoredAnswer{}
+		}
+		uncertain = true
+		if !c.Pause(ctx, pause) {
+			c.giveUp(claim)
+			return serving.ClaimUncertain, serving.StoredAnswer{}
+		}
+	}
+}
+
+// giveUp withdraws a claim that may have been committed, so that a resend can
+// run. The request itself must not dispatch any more.
+func (c *Client) giveUp(claim serving.Claim) {
+	if body, err := proto.Marshal(releaseCommand(claim)); err == nil {
+		c.settleLater(body)
+	}
+}
+
+func claimStatus(o claimsv1.Outcome) (serving.ClaimStatus, bool) {
+	switch o {
+	case claimsv1.Outcome_OUTCOME_GRANTED:
+		return serving.ClaimGranted, true
+	case claimsv1.Outcome_OUTCOME_DONE:
+		return serving.ClaimDone, true
+	case claimsv1.Outcome_OUTCOME_PENDING:
+		return serving.ClaimPending, true
+	case claimsv1.Outcome_OUTCOME_MISMATCH:
+		return serving.ClaimMismatch, true
+	}
+	return serving.ClaimUncertain, false
+}
+
+// Complete implements serving.Claims. If ctx ends first, it goes on in the
+// background: until the outcome is recorded, resends are told "unknown".
+func (c *Client) Complete(ctx context.Context, claim serving.Claim, answer serving.StoredAnswer) error {
+	return c.settle(ctx, &claimsv1.Command{Body: &claimsv1.Command_Complete{Complete: &claimsv1.Complete{
+		Record:    recordName(claim),
+		RequestId: claim.RequestID,
+		Answer: &claimsv1.Answer{
+			Status:      int32(answer.Status),
+			ContentType: strings.ToValidUTF8(answer.ContentType, ""),
+			Body:        answer.Body,
+			Truncated:   answer.Truncated,
+		},
+	}}})
+}
+
+// Release implements serving.Claims. It goes on in the background like
+// Complete.
+func (c *Client) Release(ctx context.Context, claim serving.Claim) error {
+	return c.settle(ctx, releaseCommand(claim))
+}
+
+func releaseCommand(claim serving.Claim) *claimsv1.Command {
+	return &claimsv1.Command{Body: &claimsv1.Command_Release{Release: &claimsv1.Release{
+		Record:      recordName(claim),
+		RequestId:   claim.RequestID,
+		RetentionMs: claim.Retention.Milliseconds(),
+	}}}
+}
+
+func (c *Client) settle(ctx context.Context, command *claimsv1.Command) error {
+	body, err := proto.Marshal(command)
+	if err != nil {
+		return err
+	}
+	err = c.settleUntil(ctx, body)
+	if err != nil && !errors.Is(err, errRefused) {
+		c.settleLater(body)
+	}
+	return err
+}
+
+func (c *Client) settleLater(body []byte) {
+	c.Background(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, settleWait)
+		defer cancel()
+		_ = c.settleUntil(ctx, body)
+	})
+}
+
+// settleUntil proposes until the command is committed. Both commands have the
+// same effect when they are committed twice.
+func (c *Client) settleUntil(ctx context.Context, body []byte) error {
+	for pause := firstPause; ; pause = min(2*pause, maxPause) {
+		result, err := c.propose(ctx, body)
+		if err == nil && result.GetOutcome() != claimsv1.Outcome_OUTCOME_ACCEPTED {
+			return errRefused
+		}
+		if err == nil {
+			return nil
+		}
+		if !c.Pause(ctx, pause) {
+			return err
+		}
+	}
+}
+
+func (c *Client) propose(ctx context.Context, body []byte) (*claimsv1.Result, error) {
+	log := c.Log()
+	if log == nil {
+		return nil, errors.Join(errNoLog, control.ErrNotCommitted)
+	}
+	encoded, err := log.Propose(ctx, control.KindClaims, body)
+	if err != nil {
+		return nil, err
+	}
+	var result claimsv1.Result
+	if err := proto.Unmarshal(encoded, &result); err != nil {
+		return nil, errors.Join(err, control.ErrUncertain)
+	}
+	return &result, nil
+}
+
+func encodeClaim(claim serving.Claim) []byte {
+	// The message has no field that can fail to encode but the request ID,
+	// which is hexadecimal.
+	body, _ := proto.Marshal(&claimsv1.Command{Body: &claimsv1.Command_Claim{Claim: &claimsv1.Claim{
+		Record:      recordName(claim),
+		BodyHash:    claim.BodyHash[:],
+		RequestId:   claim.RequestID,
+		RetentionMs: claim.Retention.Milliseconds(),
+	}}})
+	return body
+}
+
+// recordName hashes workspace and key, so that the log holds no text of
+// callers.
+func recordName(claim serving.Claim) []byte {
+	h := sha256.New()
+	_, _ = h.Write([]byte(claim.Workspace))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(claim.Key))
+	return h.Sum(nil)
+}
+
+func storedAnswer(a *claimsv1.Answer) serving.StoredAnswer {
+	return serving.StoredAnswer{
+		Status:      int(a.GetStatus()),
+		ContentType: a.GetContentType(),
+		Body:        a.GetBody(),
+		Truncated:   a.GetTruncated(),
+	}
+}
+
+// Sleep is the Pause of a running VM.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return ctx.Err() == nil
+	}
+}
--- /dev/null
+++ b/internal/idempotency/part_test.go
@@ -0,0 +1,104 @@
+package idempotency
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cuminwing/cuminwing/internal/serving"
+	claimsv1 "github.com/cuminwing/cuminwing/proto/claims/v1"
+)
+
+func claimBy(request, key string, hash byte) serving.Claim {
+	return serving.Claim{Workspace: "yards", Key: key, BodyHash: [32]byte{hash}, RequestID: request, Retention: time.Hour}
+}
+
+func applyClaim(t *testing.T, p *Part, now time.Time, c serving.Claim) *claimsv1.Result {
+	t.Helper()
+	return decode(t, p.Apply(1, now, encodeClaim(c)))
+}
+
+func decode(t *testing.T, data []byte) *claimsv1.Result {
+	t.Helper()
+	var r claimsv1.Result
+	if err := proto.Unmarshal(data, &r); err != nil {
+		t.Fatal(err)
+	}
+	return &r
+}
+
+func applyComplete(p *Part, index uint64, c serving.Claim, body []byte) {
+	data, _ := proto.Marshal(&claimsv1.Command{Body: &claimsv1.Command_Complete{Complete: &claimsv1.Complete{
+		Record: recordName(c), RequestId: c.RequestID, Answer: &claimsv1.Answer{Status: 200, Body: body},
+	}}})
+	p.Apply(index, time.UnixMilli(0), data)
+}
+
+// Guards against records that are dropped early, kept for good, or reused for
+// another request.
+func TestRecordLife(t *testing.T) {
+	p := NewPart()
+	start := time.UnixMilli(1000)
+	first := claimBy("r1", "k", 1)
+	for _, step := range []struct {
+		claim serving.Claim
+		at    time.Time
+		want  claimsv1.Outcome
+	}{
+		{first, start, claimsv1.Outcome_OUTCOME_GRANTED},
+		{first, start, claimsv1.Outcome_OUTCOME_GRANTED},
+		{claimBy("r2", "k", 1), start, claimsv1.Outcome_OUTCOME_PENDING},
+		{claimBy("r3", "k", 2), start, claimsv1.Outcome_OUTCOME_MISMATCH},
+		{claimBy("r4", "k", 1), start.Add(time.Hour - time.Millisecond), claimsv1.Outcome_OUTCOME_PENDING},
+		{claimBy("r5", "k", 1), start.Add(time.Hour), claimsv1.Outcome_OUTCOME_GRANTED},
+	} {
+		if got := applyClaim(t, p, step.at, step.claim).GetOutcome(); got != step.want {
+			t.Errorf("%s: %s, want %s", step.claim.RequestID, got, step.want)
+		}
+	}
+	if p.Len() != 1 {
+		t.Errorf("%d records", p.Len())
+	}
+}
+
+// Guards against a voter that runs out of memory on stored answers, and
+// against voters that differ after a snapshot.
+func TestStoredBodiesAreBounded(t *testing.T) {
+	p := NewPart()
+	p.maxStored = 100
+	now := time.UnixMilli(0)
+	for i, key := range []string{"a", "b", "c"} {
+		applyClaim(t, p, now, claimBy("r", key, 1))
+		applyComplete(p, uint64(i), claimBy("r", key, 1), bytes.Repeat([]byte{'x'}, 40))
+	}
+	restored := NewPart()
+	restored.maxStored = 100
+	data, _ := p.Snapshot()
+	if err := restored.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	for _, part := range []*Part{p, restored} {
+		oldest := applyClaim(t, part, now, claimBy("x", "a", 1))
+		newest := applyClaim(t, part, now, claimBy("x", "c", 1))
+		if !oldest.GetAnswer().GetTruncated() || len(newest.GetAnswer().GetBody()) != 40 || part.storedBytes != 80 {
+			t.Errorf("oldest %v, newest %v, %d bytes", oldest, newest, part.storedBytes)
+		}
+	}
+}
+
+// Guards against panics on commands and snapshots that are damaged.
+func FuzzApply(f *testing.F) {
+	f.Add(encodeClaim(claimBy("r", "k", 1)))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		p := NewPart()
+		p.Apply(1, time.UnixMilli(1), data)
+		p.Apply(2, time.UnixMilli(2), data)
+		if p.Restore(data) == nil {
+			if _, err := p.Snapshot(); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
--- a/internal/serving/refusal.go
+++ b/internal/serving/refusal.go
@@ -7,12 +7,15 @@
 	"time"
 )
 
+// ErrCallerGone is matched by results of attempts that ended with the caller.
+var ErrCallerGone = errors.New("the caller is gone")
+
 // callerGoneError means that the answer could not be written.
 type callerGoneError struct{ err error }
 
 func (e *callerGoneError) Error() string { return "caller is gone: " + e.err.Error() }
 
-func (e *callerGoneError) Unwrap() error { return e.err }
+func (e *callerGoneError) Unwrap() []error { return []error{ErrCallerGone, e.err} }
 
 // targetRetryAfter is the pause asked of callers after a target failed.
 const targetRetryAfter = time.Second
