--- a/internal/daemon/picker.go
+++ b/internal/daemon/picker.go
@@ -6,8 +6,8 @@
 	"github.com/cuminwing/cuminwing/internal/config"
 	"github.com/cuminwing/cuminwing/internal/control"
 	"github.com/cuminwing/cuminwing/internal/idempotency"
-	"github.com/cuminwing/cuminwing/internal/replica"
 	"github.com/cuminwing/cuminwing/internal/retry"
+	"github.com/cuminwing/cuminwing/internal/servicepick"
 	"github.com/cuminwing/cuminwing/internal/serving"
 )
 
@@ -21,7 +21,7 @@
 
 // newTargetPicker adds the choice of service replicas to that of engines.
 func (n *Node) newTargetPicker(engines serving.Picker, health *retry.Health) serving.Picker {
-	services := &replica.Picker{Registry: n.registry, Clock: n.clock, Zone: n.settings.Zone, Region: n.settings.Region, Health: health}
+	services := &servicepick.Picker{Registry: n.registry, Clock: n.clock, Zone: n.settings.Zone, Region: n.settings.Region, Health: health}
 	return targetPicker{engines, services, health}
 }
 
--- a/internal/daemon/serving.go
+++ b/internal/daemon/serving.go
@@ -25,8 +25,8 @@
 	health := retry.NewHealth(n.clock)
 	service := &serving.Service{
 		Clock:    n.clock,
-		Limiter:  unlimited{},
-		Queue:    unordered{},
+		Limiter:  n.rates,
+		Queue:    n.newQueue(),
 		Claims:   n.startClaims(),
 		Picker:   n.newTargetPicker(picker, health),
 		Retries:  retry.NewBudgets(),
@@ -76,11 +76,19 @@
 	return n.listen(n.settings.CallerAddress, server)
 }
 
-// keyCheck refuses withdrawn keys.
+// keyCheck refuses withdrawn keys, and unconfirmed keys where the workspace
+// asks for it.
 type keyCheck struct{ node *Node }
 
-func (k keyCheck) Usable(h keys.Hash, _ config.Workspace) bool {
-	return !k.node.withdrawn.Contains(h)
+func (k keyCheck) Usable(h keys.Hash, w config.Workspace) bool {
+	if k.node.withdrawn.Contains(h) {
+		return false
+	}
+	if w.OnUnconfirmedKeys != config.UnconfirmedRefuse {
+		return true
+	}
+	age, ok := k.node.distribution.lease.age(k.node.clock())
+	return ok && age <= time.Duration(w.KeyLeaseMS)*time.Millisecond
 }
 
 func (k keyCheck) Watch(ctx context.Context, h keys.Hash) (context.Context, context.CancelFunc) {
--- a/internal/replica/picker.go
+++ b/internal/servicepick/picker.go
@@ -1,6 +1,6 @@
-// Package replica chooses among the replicas of a plain service. The package
+// Package servicepick chooses among the replicas of a plain service. The package
 // does no I/O.
-package replica
+package servicepick
 
 import (
 	"context"
