--- a/internal/daemon/serving.go
+++ b/internal/daemon/serving.go
@@ -9,18 +9,22 @@
 	"github.com/cuminwing/cuminwing/internal/adapter/targethttp"
 	"github.com/cuminwing/cuminwing/internal/config"
 	"github.com/cuminwing/cuminwing/internal/keys"
+	"github.com/cuminwing/cuminwing/internal/retry"
 	"github.com/cuminwing/cuminwing/internal/serving"
 )
 
 // startServing builds the request path.
 func (n *Node) startServing() error {
+	health := retry.NewHealth(n.clock)
+	picker := n.newPicker()
+	picker.Health = health
 	service := &serving.Service{
 		Clock:    n.clock,
 		Limiter:  n.rates,
 		Queue:    n.newQueue(),
-		Claims:   noClaims{},
-		Picker:   n.newPicker(),
-		Retries:  alwaysRetry{},
+		Claims:   n.startClaims(),
+		Picker:   n.newTargetPicker(picker, health),
+		Retries:  retry.NewBudgets(),
 		Engines:  targethttp.NewEngines(n.options.Dial),
 		Services: targethttp.NewServices(n.options.Dial),
 		Ledger:   discardLedger{},
