--- a/internal/daemon/distribution_test.go
+++ b/internal/daemon/distribution_test.go
@@ -32,7 +32,7 @@
 	c.start(1, "muc-a", nil)
 	away := c.start(2, "nue-a", nil)
 	c.awaitMembers()
-	r := applyFirst(t, first, testDocument(""))
+	r := applyFirst(t, first, clusterDocument(""))
 	base := wantAccepted(t, r)
 	for _, z := range []string{"muc-a", "nue-a"} {
 		if !zoneOf(r.GetZones(), z).GetComplete() {
@@ -49,7 +49,7 @@
 		t.Fatal("the cut-off VM does not serve the configuration that it knows")
 	}
 	c.partition(2, false)
-	eventually(t, "cut-off VM catches up", func() bool { return away.Snapshot().Revision == revision })
+	await(t, "cut-off VM catches up", func() bool { return away.Snapshot().Revision == revision })
 }
 
 // Guards against a resend after a lost answer being executed again, and against
@@ -58,7 +58,7 @@
 	c := newTestCluster(t, 2, 2)
 	a := c.start(0, "muc-a", nil)
 	b := c.start(1, "muc-a", nil)
-	base := wantAccepted(t, applyFirst(t, a, testDocument("")))
+	base := wantAccepted(t, applyFirst(t, a, clusterDocument("")))
 	c.log.mu.Lock()
 	c.log.loseAnswers = 1
 	c.log.mu.Unlock()
@@ -99,9 +99,9 @@
 	folder := t.TempDir()
 	withDisk := func(s *settings.Settings) { s.DataFolder = folder }
 	n := c.start(1, "muc-a", withDisk)
-	revision := wantAccepted(t, applyFirst(t, voter, testDocument("")))
+	revision := wantAccepted(t, applyFirst(t, voter, clusterDocument("")))
 	file := filepath.Join(folder, configFile)
-	eventually(t, "file is written", func() bool { _, err := os.Stat(file); return err == nil })
+	await(t, "file is written", func() bool { _, err := os.Stat(file); return err == nil })
 	want := encoded(t, n.distribution.state.Load().EncodeDocument())
 	n.Close()
 	c.partition(1, true)
@@ -133,8 +133,8 @@
 	c := newTestCluster(t, 3, 2)
 	voter := c.start(0, "muc-a", nil)
 	behind := c.start(2, "nue-a", nil)
-	base := wantAccepted(t, applyFirst(t, voter, testDocument("")))
-	eventually(t, "first document", func() bool { return behind.distribution.revision() == base })
+	base := wantAccepted(t, applyFirst(t, voter, clusterDocument("")))
+	await(t, "first document", func() bool { return behind.distribution.revision() == base })
 	c.partition(2, true)
 	for i := range 300 {
 		body := rateEdit(vmName(i), base+uint64(i), i+1)
@@ -147,9 +147,9 @@
 	}
 	c.partition(2, false)
 	last := base + 300
-	eventually(t, "catch-up by the whole document", func() bool { return behind.distribution.revision() == last })
+	await(t, "catch-up by the whole document", func() bool { return behind.distribution.revision() == last })
 	replayed := c.start(1, "muc-a", nil)
-	eventually(t, "replay", func() bool { return replayed.distribution.revision() == last })
+	await(t, "replay", func() bool { return replayed.distribution.revision() == last })
 	want := encoded(t, voter.distribution.state.Load().EncodeDocument())
 	for _, n := range []*Node{behind, replayed} {
 		if encoded(t, n.distribution.state.Load().EncodeDocument()) != want {
@@ -171,7 +171,7 @@
 func TestAdoptRefusesLowerRevision(t *testing.T) {
 	c := newTestCluster(t, 1, 1)
 	n := c.start(0, "muc-a", nil)
-	wantAccepted(t, applyFirst(t, n, testDocument("")))
+	wantAccepted(t, applyFirst(t, n, clusterDocument("")))
 	old := n.distribution.state.Load()
 	wantAccepted(t, applyEdit(t, n, rateEdit("next", old.Revision, 99)))
 	if n.distribution.adopt(old) || n.Snapshot().Revision == old.Revision {
@@ -183,7 +183,7 @@
 // document that the log has already.
 func TestDocumentFileIsProposedOnce(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "document.json")
-	data, err := json.Marshal(testDocument(""))
+	data, err := json.Marshal(clusterDocument(""))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -194,12 +194,12 @@
 	c := newTestCluster(t, 2, 2)
 	a := c.start(0, "muc-a", withDocument)
 	b := c.start(1, "muc-a", withDocument)
-	eventually(t, "first document", func() bool { return a.Snapshot() != nil && b.Snapshot() != nil })
+	await(t, "first document", func() bool { return a.Snapshot() != nil && b.Snapshot() != nil })
 	revision := a.Snapshot().Revision
 	wantAccepted(t, applyEdit(t, a, rateEdit("later", revision, 77)))
 	b.Close()
 	b = c.start(1, "muc-a", withDocument)
-	eventually(t, "restart", func() bool { return b.distribution.revision() > revision })
+	await(t, "restart", func() bool { return b.distribution.revision() > revision })
 	if got := b.Snapshot().Document.Rates["yards"].RateTokensPerSecond; got != 77 {
 		t.Fatalf("rate is %v after the restart, want that of the later edit", got)
 	}
@@ -210,7 +210,7 @@
 
 // Guards against a first document that differs from the file.
 func TestFirstEditGivesSameDocument(t *testing.T) {
-	want := testDocument(config.UnconfirmedRefuse)
+	want := clusterDocument(config.UnconfirmedRefuse)
 	edit, err := sections.FirstEdit("first", want)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -61,6 +61,8 @@
 
 	distribution *distribution
 	withdrawals  *withdrawals
+	// routing shares the index of cached blocks.
+	routing *routingDuty
 
 	// parts make up the replicated state; duties add theirs before
 	// startControl runs. log is nil on a VM that cannot reach any voter yet.
@@ -98,6 +100,7 @@
 		n.startPeers,
 		n.startDistribution,
 		n.startKeyDuties,
+		n.startRouting,
 		n.startCallers,
 	}
 	for _, step := range steps {
--- a/internal/daemon/picker.go
+++ b/internal/daemon/picker.go
@@ -36,15 +36,12 @@
 		return nil, refusal
 	}
 	p.health.Begin(pick.Target)
-	done := pick.Done
-	return &serving.Pick{
-		Target:               pick.Target,
-		ExpectedCachedTokens: pick.ExpectedCachedTokens,
-		Done: func(result serving.AttemptResult) {
-			p.health.End(pick.Target, result)
-			done(result)
-		},
-	}, nil
+	wrapped := *pick
+	wrapped.Done = func(result serving.AttemptResult) {
+		p.health.End(pick.Target, result)
+		pick.Done(result)
+	}
+	return &wrapped, nil
 }
 
 // startClaims adds the records of at-most-once requests to the replicated
--- a/internal/daemon/serving.go
+++ b/internal/daemon/serving.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -11,24 +10,20 @@
 	"github.com/cuminwing/cuminwing/internal/config"
 	"github.com/cuminwing/cuminwing/internal/keys"
 	"github.com/cuminwing/cuminwing/internal/retry"
-	"github.com/cuminwing/cuminwing/internal/routing"
 	"github.com/cuminwing/cuminwing/internal/serving"
 )
 
 // startServing builds the request path.
 func (n *Node) startServing() error {
-	picker := &routing.LeastOutstanding{
-		Registry: n.registry,
-		Clock:    n.clock,
-		Rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-	}
 	health := retry.NewHealth(n.clock)
+	engines := n.newPicker()
+	engines.Health = health
 	service := &serving.Service{
 		Clock:    n.clock,
 		Limiter:  n.rates,
 		Queue:    n.newQueue(),
 		Claims:   n.startClaims(),
-		Picker:   n.newTargetPicker(picker, health),
+		Picker:   n.newTargetPicker(engines, health),
 		Retries:  retry.NewBudgets(),
 		Engines:  targethttp.NewEngines(n.options.Dial),
 		Services: targethttp.NewServices(n.options.Dial),
--- a/internal/daemon/streams_test.go
+++ b/internal/daemon/streams_test.go
@@ -28,7 +28,7 @@
 			t.Run(fmt.Sprintf("%s/http2=%t", name, http2), func(t *testing.T) {
 				t.Parallel()
 				// A VM of its own has a full budget of extra attempts.
-				vm := startVM(t, "muc-a", yardsDocument())
+				vm := startVM(t, "muc-a", testDocument())
 				engines := []*standin.Engine{startEngine(t, "e1", http2, vm), startEngine(t, "e2", http2, vm)}
 				want := ask(t, vm, "dossier", 40, nil)
 				for _, e := range engines {
@@ -46,7 +46,7 @@
 // Guards against doubled or missing tokens when the next engine starts at
 // another offset than it was asked for.
 func TestResumeAtAnotherOffset(t *testing.T) {
-	vm := startVM(t, "muc-a", yardsDocument())
+	vm := startVM(t, "muc-a", testDocument())
 	engine := startEngine(t, "e1", false, vm)
 	want := ask(t, vm, "dossier", 40, nil)
 	engine.SetFaults(standin.Faults{CutAfter: 30, Repeat: 5})
@@ -65,7 +65,7 @@
 func TestSilentConnections(t *testing.T) {
 	for _, http2 := range []bool{false, true} {
 		t.Run(fmt.Sprintf("http2=%t", http2), func(t *testing.T) {
-			vm := startVM(t, "muc-a", yardsDocument())
+			vm := startVM(t, "muc-a", testDocument())
 			engine := startEngine(t, "e1", http2, vm)
 			want := ask(t, vm, "dossier", 200, nil)
 			got := ask(t, vm, "dossier", 200, func(n int) {
@@ -88,7 +88,7 @@
 // Guards against refusals that say not-run although an engine began, and
 // against streams without an end that look whole.
 func TestRunStateOfRefusals(t *testing.T) {
-	document := yardsDocument()
+	document := testDocument()
 	grade := document.Routes["grade"]
 	grade.MaxAttempts, grade.FirstTokenTimeoutMS = 1, 300
 	document.Routes["grade"] = grade
@@ -125,11 +125,11 @@
 
 // Guards against streams that outlive a withdrawn key.
 func TestWithdrawnKeyEndsStream(t *testing.T) {
-	vm := startVM(t, "muc-a", yardsDocument())
+	vm := startVM(t, "muc-a", testDocument())
 	engine := startEngine(t, "e1", false, vm)
 	got := ask(t, vm, "dossier", 100000, func(n int) {
 		if n == 10 {
-			vm.withdrawn.Add(keys.Sum(yardsKey))
+			vm.withdrawn.Add(keys.Sum(testKey))
 		}
 	})
 	if got.done != 0 || got.failed != "key_withdrawn" {
@@ -141,10 +141,10 @@
 // Guards against engines that go on working for callers that are gone.
 func TestCallerGoneCancelsEngine(t *testing.T) {
 	for _, http2 := range []bool{false, true} {
-		vm := startVM(t, "muc-a", yardsDocument())
+		vm := startVM(t, "muc-a", testDocument())
 		engine := startEngine(t, "e1", http2, vm)
 		ctx, cancel := context.WithCancel(t.Context())
-		resp, err := send(ctx, http.MethodPost, vm.base+"/v1/chat/completions", yardsKey, chatBody("dossier", 100000, true))
+		resp, err := send(ctx, http.MethodPost, vm.base+"/v1/chat/completions", testKey, chatBody("dossier", 100000, true))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -155,7 +155,7 @@
 
 // Guards against callers that give up on a connection with nothing on it.
 func TestWaitingCallersGetHeartbeats(t *testing.T) {
-	document := yardsDocument()
+	document := testDocument()
 	document.Limits.HeartbeatMS = 20
 	vm := startVM(t, "muc-a", document)
 	engine := startEngine(t, "e1", false, vm)
--- a/internal/serving/run.go
+++ b/internal/serving/run.go
@@ -139,6 +139,7 @@
 		Attempt:      r.attempts,
 		ResumeOffset: before,
 		ResumeText:   r.tracker.Text(),
+		Prefix:       pick.Prefix,
 	})
 	r.attempts++
 	r.noteDispatch(err)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -27,12 +27,14 @@
 	Announce []string
 	// TokenInterval is the time between tokens.
 	TokenInterval time.Duration
-	// BatchSlots is the number of concurrent requests.
+	// BatchSlots is the number of concurrent requests; zero means no limit.
 	BatchSlots int
 	// StartDelay is the time before the first token.
 	StartDelay time.Duration
 	// HTTP2 announces that the engine speaks HTTP/2.
 	HTTP2 bool
+	// Cache describes the prefix cache.
+	Cache CacheOptions
 }
 
 // Engine is a stand-in model engine. Its answers are a function of the
@@ -50,6 +52,7 @@
 	leaving     atomic.Bool
 	gate        *Gate
 	faults      faults
+	kv          *kvEngine
 }
 
 // StartEngine listens on address and announces the engine until it is closed.
@@ -70,6 +73,8 @@
 	mux.HandleFunc("POST /v1/chat/completions", e.complete)
 	mux.HandleFunc("POST /v1/completions", e.complete)
 	mux.HandleFunc("POST /v1/requests/{id}/cancel", e.cancelRequest)
+	e.kv = newKVEngine(e.incarnation, options)
+	e.kv.register(mux)
 	e.server = &http.Server{Handler: mux, Protocols: standinProtocols()}
 	e.done.Go(func() { _ = e.server.Serve(e.gate) })
 	e.done.Go(func() { e.announceLoop(ctx) })
@@ -114,7 +119,7 @@
 		ID:           o.ID,
 		Incarnation:  e.incarnation,
 		Sequence:     e.sequence.Add(1),
-		Kind:         target.KindEngine,
+		Kind:         o.Cache.kind(),
 		Zone:         o.Zone,
 		Region:       o.Region,
 		URL:          e.URL(),
@@ -122,8 +127,9 @@
 		Version:      o.Version,
 		Role:         "mixed",
 		BatchSlots:   o.BatchSlots,
-		Capabilities: target.Capabilities{Resume: true, Priority: true, HTTP2: o.HTTP2},
-		Load:         target.Load{Running: int(e.running.Load())},
+		CacheBlocks:  o.Cache.Blocks,
+		Capabilities: target.Capabilities{Resume: true, Priority: true, KV: o.Cache.Blocks > 0, HTTP2: o.HTTP2},
+		Load:         e.kv.load.report(),
 		Leaving:      e.leaving.Load(),
 	}
 }
@@ -164,6 +170,12 @@
 	if e.faults.refuse(w) {
 		return
 	}
+	release, cached, ok := e.kv.begin(r, len(req.Messages)+len(req.Prompt))
+	if !ok {
+		return
+	}
+	defer release()
+	w.Header().Set(targethttp.HeaderCachedTokens, strconv.Itoa(cached))
 	start := 0
 	if req.Resume != nil {
 		start = req.Resume.Offset
