Test plain services and keep every caller key from targets

Cause: a body or a query that held a key of the document other than the presented one reached the service.

Conclusion: keys put into 24 places of a call (headers, Basic and encoded forms, cookies, query, path, bodies across the buffer edge, trailers) on keyed and open routes were seen by no target; orders sent through three VMs ran once each, and a resend after a lost answer got 409 and unknown.

--- a/internal/adapter/callerhttp/auth.go
+++ b/internal/adapter/callerhttp/auth.go
@@ -14,7 +14,6 @@
 type identity struct {
 	workspace string
 	hash      keys.Hash
-	key       string
 }
 
 func (s *Server) authenticate(r *http.Request, snap *config.Snapshot) (identity, *serving.Refusal) {
@@ -27,7 +26,7 @@
 	if !ok || !s.Keys.Usable(hash, snap.Document.Workspaces[owner.Workspace]) {
 		return identity{}, refuse(http.StatusUnauthorized, "invalid_key", "the key is not valid")
 	}
-	return identity{workspace: owner.Workspace, hash: hash, key: key}, nil
+	return identity{workspace: owner.Workspace, hash: hash}, nil
 }
 
 func bearer(header http.Header) string {
--- a/internal/adapter/callerhttp/decode.go
+++ b/internal/adapter/callerhttp/decode.go
@@ -1,7 +1,6 @@
 package callerhttp
 
 import (
-	"bytes"
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
@@ -71,7 +70,7 @@
 	if refusal != nil {
 		return nil, false, refusal
 	}
-	if bytes.Contains(body, []byte(id.key)) {
+	if newScrubber(snap, r).inBody(body) {
 		return nil, false, errKeyInBody
 	}
 	var req completionRequest
--- a/internal/adapter/callerhttp/scrub.go
+++ b/internal/adapter/callerhttp/scrub.go
@@ -162,28 +162,53 @@
 	return strings.Join(kept, "&")
 }
 
-// inBody reports whether data holds a known key.
+// inBody reports whether data holds the presented key or a key that "keys new"
+// made for any workspace.
 func (s *scrubber) inBody(data []byte) bool {
 	for _, key := range s.keys {
 		if bytes.Contains(data, []byte(key)) {
 			return true
 		}
 	}
-	return false
+	for {
+		start := bytes.Index(data, []byte(keys.Prefix))
+		if start < 0 {
+			return false
+		}
+		data = data[start:]
+		if s.startsWithKey(data) {
+			return true
+		}
+		data = data[len(keys.Prefix):]
+	}
+}
+
+func (s *scrubber) startsWithKey(data []byte) bool {
+	word := data[:min(len(data), longestKey)]
+	if end := bytes.IndexFunc(word, isSeparator); end >= 0 {
+		word = word[:end]
+	}
+	if len(word) < keys.Length {
+		return false
+	}
+	// Other characters may follow without a separator.
+	_, exact := s.snap.Owner(keys.Sum(string(word[:keys.Length])))
+	_, whole := s.snap.Owner(keys.Sum(string(word)))
+	return exact || whole
 }
 
+// longestKey bounds the keys that are looked for in bodies.
+const longestKey = 128
+
 var errKeyInStream = errors.New("the body contains the caller key")
 
 // guard returns a reader that ends with an error before it passes on a key.
 func (s *scrubber) guard(in io.Reader) io.Reader {
-	longest := 0
+	hold := longestKey
 	for _, key := range s.keys {
-		longest = max(longest, len(key))
-	}
-	if longest == 0 {
-		return in
+		hold = max(hold, len(key))
 	}
-	return &guardedReader{scrubber: s, in: in, hold: longest - 1}
+	return &guardedReader{scrubber: s, in: in, hold: hold}
 }
 
 // guardedReader holds back as many bytes as an unfinished key may have.
--- /dev/null
+++ b/internal/daemon/services_test.go
@@ -0,0 +1,243 @@
+package daemon
+
+import (
+	"context"
+	"encoding/base64"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cuminwing/cuminwing/internal/config"
+	"github.com/cuminwing/cuminwing/internal/keys"
+	"github.com/cuminwing/cuminwing/internal/standin"
+)
+
+func startService(t testing.TB, name, id string, vms ...*testVM) *standin.Service {
+	t.Helper()
+	s, err := standin.StartService("127.0.0.1:0", standin.ServiceOptions{ID: id, Zone: "muc-a", Region: "oberbayern", Service: name, Announce: announceTo(vms)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	for _, vm := range vms {
+		awaitTarget(t, vm, id)
+	}
+	return s
+}
+
+// call sends one call and returns its status, header and body. Status 0 means
+// that the answer broke off.
+func call(t testing.TB, method, url, key, body string, header ...string) (int, http.Header, string) {
+	t.Helper()
+	resp, err := send(t.Context(), method, url, key, body, header...)
+	if err != nil {
+		return 0, nil, ""
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, resp.Header, string(data)
+	}
+	return resp.StatusCode, resp.Header, string(data)
+}
+
+// Guards against calls that lose their method, query, body or answer, and
+// against routes that are open to the wrong callers.
+func TestServiceCalls(t *testing.T) {
+	vm := startVM(t, "muc-a", testDocument())
+	service := startService(t, "stock", "s1", vm)
+	large := strings.Repeat("sleeper ", 100_000)
+	for _, c := range []struct {
+		method, path, key, body string
+		status                  int
+	}{
+		{"GET", "/stock/oak?count=2&size=l", testKey, "", 200},
+		{"PUT", "/stock/oak%2Fgrade", testKey, "body", 200},
+		{"POST", "/stock", testKey, large, 200},
+		{"POST", "/open/price", "", "body", 200},
+		{"GET", "/stock/oak", "", "", 401},
+		{"GET", "/stock/oak", "cw-wrong", "", 401},
+		{"GET", "/stockyard", testKey, "", 404},
+		{"GET", "/stock/../orders", testKey, "", 400},
+		{"TRACE", "/stock", testKey, "", 405},
+	} {
+		before := service.Total()
+		status, header, body := call(t, c.method, vm.base+c.path, c.key, c.body)
+		ran := service.Total() - before
+		if status != c.status || (status == 200) != (ran == 1) || status == 200 && (body != c.body || header.Get("X-Method") != c.method) {
+			t.Errorf("%s %s: status %d, ran %d times, %d bytes", c.method, c.path, status, ran, len(body))
+		}
+	}
+	if seen := service.Seen()[0]; !strings.HasPrefix(seen, "GET /stock/oak?count=2&size=l ") {
+		t.Errorf("request line changed: %.80s", seen)
+	}
+}
+
+// Guards against retries after the caller got a byte or where the body is
+// gone, and against answers that look whole but are not.
+func TestServiceRetries(t *testing.T) {
+	large := strings.Repeat("x", 200_000)
+	for _, c := range []struct {
+		name   string
+		fault  standin.ServiceFaults
+		body   string
+		status int
+		ran    int
+	}{
+		{"dropped answer", standin.ServiceFaults{DropAnswer: true, Requests: 1}, "body", 200, 2},
+		{"overloaded replica", standin.ServiceFaults{Status: 503, Requests: 1}, "body", 200, 2},
+		{"service error", standin.ServiceFaults{Status: 500}, "body", 500, 1},
+		{"body is gone", standin.ServiceFaults{DropAnswer: true, Requests: 1}, large, 502, 1},
+		{"cut answer", standin.ServiceFaults{CutAfter: 2, Requests: 1}, "body", 0, 1},
+	} {
+		vm := startVM(t, "muc-a", testDocument())
+		service := startService(t, "stock", "s1", vm)
+		service.SetFaults(c.fault)
+		status, _, _ := call(t, "POST", vm.base+"/stock", testKey, c.body)
+		if status != c.status || service.Total() != c.ran {
+			t.Errorf("%s: status %d after %d executions, want %d after %d", c.name, status, service.Total(), c.status, c.ran)
+		}
+	}
+}
+
+// Guards against a slow replica that holds up short calls, and against losing
+// attempts that run on.
+func TestHedgedCall(t *testing.T) {
+	document := testDocument()
+	stock := document.Routes["stock"]
+	stock.HedgeAfterMS, stock.FirstTokenTimeoutMS = 20, 60_000
+	document.Routes["stock"] = stock
+	vm := startVM(t, "muc-a", document)
+	a, b := startService(t, "stock", "s1", vm), startService(t, "stock", "s2", vm)
+	a.SetFaults(standin.ServiceFaults{Delay: time.Hour})
+	for range 4 {
+		if status, _, body := call(t, "POST", vm.base+"/stock", testKey, "body"); status != 200 || body != "body" {
+			t.Fatalf("status %d, body %q", status, body)
+		}
+	}
+	if b.Total() != 4 {
+		t.Errorf("the fast replica ran %d calls", b.Total())
+	}
+	await(t, "cancelled attempts", func() bool { return a.Gone() == a.Total() })
+}
+
+// Guards against a target that sees a caller key: the key is put in every
+// place that an HTTP client can put it.
+func TestNoTargetSeesTheKey(t *testing.T) {
+	other, err := keys.New()
+	if err != nil || len(other) != keys.Length {
+		t.Fatal(err, len(other))
+	}
+	document := testDocument()
+	yards := document.Workspaces["yards"]
+	yards.Keys = append(yards.Keys, config.Key{ID: "k2", SHA256: keys.Sum(other).String()})
+	document.Workspaces["yards"] = yards
+	vm := startVM(t, "muc-a", document)
+	service := startService(t, "stock", "s1", vm)
+	for _, key := range []string{testKey, other} {
+		for _, path := range []string{"/stock", "/open"} {
+			sendEverywhere(t, vm.base+path, key)
+		}
+	}
+	if len(service.Seen()) < 20 {
+		t.Fatalf("only %d calls arrived", len(service.Seen()))
+	}
+	for _, seen := range service.Seen() {
+		for _, key := range []string{testKey, other} {
+			for _, form := range []string{key, strings.ToLower(key), base64.StdEncoding.EncodeToString([]byte(key)), base64.StdEncoding.EncodeToString([]byte("user:" + key))} {
+				if strings.Contains(strings.ToLower(seen), strings.ToLower(form)) {
+					t.Errorf("a target saw a key: %.300s", seen)
+				}
+			}
+		}
+	}
+}
+
+// sendEverywhere sends calls that are authorised by testKey and have key in
+// one more place each.
+func sendEverywhere(t *testing.T, base, key string) {
+	t.Helper()
+	basic := "Basic " + base64.StdEncoding.EncodeToString([]byte("user:"+key))
+	headers := [][2]string{
+		{"X-Api-Key", key}, {"Api-Key", key}, {"X-Custom", "prefix " + key + " suffix"}, {"Proxy-Authorization", "Bearer " + key},
+		{"X-Authorization", basic}, {"Cookie", "a=1; session=" + key + "; b=2"}, {"Referer", "http://x/?key=" + key},
+		{"User-Agent", "agent/" + key}, {"X-Escaped", url.QueryEscape("k=" + key)}, {key, "1"}, {"Idempotency-Key", key},
+		{"Keep-Alive", key}, {"Connection", "X-Hop"}, {"X-Forwarded-Authorization", "Bearer " + key},
+	}
+	for _, h := range headers {
+		call(t, "POST", base, testKey, "body", h[0], h[1], "X-Hop", key)
+	}
+	escaped := strings.ReplaceAll(key, "c", "%63")
+	for _, suffix := range []string{"?key=" + key, "?a=1&" + key + "=1", "?key=" + escaped, "/" + key, "/" + escaped} {
+		call(t, "GET", base+suffix, testKey, "")
+	}
+	for _, body := range []string{key, `{"api_key":"` + key + `"}`, strings.Repeat("x", 70_000-8) + key + "y", strings.Repeat("x", 1<<16-8) + key} {
+		call(t, "POST", base, testKey, body)
+	}
+	sendTrailer(t, base, key)
+}
+
+func sendTrailer(t *testing.T, base, key string) {
+	req, _ := http.NewRequestWithContext(t.Context(), "POST", base, io.MultiReader(strings.NewReader("body")))
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	req.Trailer = http.Header{"X-Trailer": {key}}
+	if resp, err := http.DefaultClient.Do(req); err == nil {
+		resp.Body.Close()
+	}
+}
+
+// Guards against orders that run again on a resend, a lost answer or a lost
+// connection, and against answers that misstate what happened.
+func TestOrdersRunAtMostOnce(t *testing.T) {
+	vms := startVMs(t, testDocument(), "muc-a", "muc-b", "muc-a")
+	service := startService(t, "orders", "o1", vms...)
+	order := func(vm *testVM, key, body string) (int, string, string) {
+		status, header, answer := call(t, "POST", vm.base+"/orders/buy", testKey, body, "Idempotency-Key", key)
+		return status, header.Get("Cuminwing-Run"), answer
+	}
+	await(t, "control log", func() bool { status, _, _ := order(vms[0], "warm-up", "x"); return status == 200 })
+	for i, vm := range vms {
+		if status, _, answer := order(vm, "k1", "two oak"); status != 200 || answer != "two oak" || service.Executions("k1") != 1 {
+			t.Errorf("resend %d: status %d, answer %q after %d executions", i, status, answer, service.Executions("k1"))
+		}
+	}
+	if status, run, _ := order(vms[1], "k1", "three oak"); status != 422 || run != "not-run" {
+		t.Errorf("other body: status %d, %s", status, run)
+	}
+	service.SetFaults(standin.ServiceFaults{DropAnswer: true})
+	if status, run, _ := order(vms[0], "k2", "x"); status != 502 || run != "unknown" {
+		t.Errorf("lost answer: status %d, %s", status, run)
+	}
+	service.SetFaults(standin.ServiceFaults{})
+	if status, run, _ := order(vms[1], "k2", "x"); status != 409 || run != "unknown" || service.Executions("k2") != 1 {
+		t.Errorf("resend after a lost answer: status %d, %s after %d executions", status, run, service.Executions("k2"))
+	}
+	service.Close()
+	if status, run, _ := order(vms[0], "k3", "x"); status != 502 && status != 503 || run != "not-run" {
+		t.Errorf("refused dial: status %d, %s", status, run)
+	}
+	again := startService(t, "orders", "o2", vms...)
+	await(t, "released claim", func() bool { status, _, _ := order(vms[2], "k3", "x"); return status == 200 })
+	if again.Executions("k3") != 1 {
+		t.Errorf("%d executions after a release", again.Executions("k3"))
+	}
+}
+
+// Guards against a call that keeps running for a caller who is gone.
+func TestCallerGoneCancelsService(t *testing.T) {
+	vm := startVM(t, "muc-a", testDocument())
+	service := startService(t, "stock", "s1", vm)
+	service.SetFaults(standin.ServiceFaults{Delay: time.Hour})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		for service.Total() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	}()
+	_, _ = send(ctx, "POST", vm.base+"/stock", testKey, "body")
+	await(t, "cancelled call", func() bool { return service.Gone() == 1 })
+}
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -19,6 +19,9 @@
 // keyBytes is the entropy of a new key in bytes.
 const keyBytes = 32
 
+// Length is the number of characters of every key that New makes.
+const Length = len(Prefix) + (keyBytes*8+5)/6
+
 // Hash is the SHA-256 hash of a caller key.
 type Hash [sha256.Size]byte
 
