--- a/internal/daemon/cachereader.go
+++ b/internal/daemon/cachereader.go
@@ -11,6 +11,7 @@
 
 	"github.com/cuminwing/cuminwing/internal/adapter/targethttp"
 	"github.com/cuminwing/cuminwing/internal/prefix"
+	"github.com/cuminwing/cuminwing/internal/serving"
 	"github.com/cuminwing/cuminwing/internal/target"
 )
 
@@ -44,7 +45,7 @@
 func (c *cacheReader) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		answer, err := c.duty.cache.Events(ctx, c.url, c.after)
-		var status *targethttp.StatusError
+		var status *serving.StatusError
 		if errors.As(err, &status) && status.Status == http.StatusNotFound {
 			// The target reports no events; predictions have to do.
 			return
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -41,6 +41,8 @@
 	// Document replaces the configuration in force while the control log
 	// has none.
 	Document *config.Document
+	// Log replaces the control log; it gets the replicated parts of the VM.
+	Log func(parts map[control.Kind]control.Part) control.Log
 }
 
 // Node is one running VM.
@@ -57,13 +59,17 @@
 	gossip    *gossip.Conn
 	callers   *callerhttp.Server
 
+	distribution *distribution
+	withdrawals  *withdrawals
 	// routing shares the index of cached blocks.
 	routing *routingDuty
 
 	// parts make up the replicated state; duties add theirs before
 	// startControl runs. log is nil on a VM that cannot reach any voter yet.
-	parts map[control.Kind]control.Part
-	log   control.Log
+	parts    map[control.Kind]control.Part
+	log      control.Log
+	rates    *rates
+	observer *observer
 	// replica is nil on a VM without a disk.
 	replica *replica.Replica
 
@@ -83,12 +89,19 @@
 func Start(s settings.Settings, options Options) (*Node, error) {
 	n := newNode(s, options)
 	steps := []func() error{
+		n.startWithdrawals,
+		n.startConfig,
 		n.startMembership,
 		n.startTargets,
+		n.startRates,
+		n.startObserver,
 		n.startServing,
 		n.startControl,
 		n.startStatus,
+		n.startAdmin,
 		n.startPeers,
+		n.startDistribution,
+		n.startKeyDuties,
 		n.startRouting,
 		n.startCallers,
 	}
@@ -133,7 +146,7 @@
 		MaxIdleConnsPerHost: maxIdlePeerConns,
 	}}
 	if options.Document != nil {
-		n.snapshot.Store(config.NewSnapshot(*options.Document, 1))
+		n.snapshot.Store(config.NewSnapshot(*options.Document, 0))
 	}
 	return n
 }
--- a/internal/daemon/routing_test.go
+++ b/internal/daemon/routing_test.go
@@ -74,7 +74,7 @@
 	return vms
 }
 
-func startEngine(t *testing.T, vms []routingVM, id string, cache standin.CacheOptions) *standin.Engine {
+func startCachingEngine(t *testing.T, vms []routingVM, id string, cache standin.CacheOptions) *standin.Engine {
 	t.Helper()
 	o := standin.EngineOptions{ID: id, Zone: "a", Region: "r", Model: "m", Version: "v1", Cache: cache}
 	o.Announce = []string{"http://" + vms[0].settings.TargetAddress}
@@ -86,17 +86,6 @@
 	return e
 }
 
-func eventually(t *testing.T, what string, check func() bool) {
-	t.Helper()
-	for range 500 {
-		if check() {
-			return
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	t.Fatal("not reached: " + what)
-}
-
 func promptCall(workspace, prompt string) *serving.Call {
 	doc := config.Document{Models: map[string]config.Model{"m": {ServingVersion: "v1", BlockTokens: 10}}}
 	call := &serving.Call{ID: "r", Workspace: workspace, Model: "m", Version: "v1", Snapshot: config.NewSnapshot(doc, 1)}
@@ -109,7 +98,7 @@
 
 // send runs one request as serving does and returns the target and the number
 // of reused tokens.
-func send(t *testing.T, vm routingVM, call *serving.Call) (string, int) {
+func sendCall(t *testing.T, vm routingVM, call *serving.Call) (string, int) {
 	t.Helper()
 	pick, refusal := vm.picker.Pick(context.Background(), serving.PickRequest{Call: call})
 	if refusal != nil {
@@ -132,26 +121,26 @@
 	vms := startRoutingVMs(t, 3)
 	cache := standin.CacheOptions{Blocks: 1000, BlockTokens: 10, EventLoss: 0.3}
 	for i := range 4 {
-		startEngine(t, vms, fmt.Sprint("e", i), cache)
+		startCachingEngine(t, vms, fmt.Sprint("e", i), cache)
 	}
-	eventually(t, "engines announced", func() bool { return len(vms[2].registry.All()) == 4 })
+	await(t, "engines announced", func() bool { return len(vms[2].registry.All()) == 4 })
 	want := map[int]string{}
 	for i := range 12 {
-		want[i], _ = send(t, vms[i%3], promptCall("w", prompt(i)))
+		want[i], _ = sendCall(t, vms[i%3], promptCall("w", prompt(i)))
 	}
-	eventually(t, "all VMs find all prompts", func() bool { return sharedBy(vms, want) })
+	await(t, "all VMs find all prompts", func() bool { return sharedBy(vms, want) })
 	for i, id := range want {
-		if got, cached := send(t, vms[(i+1)%3], promptCall("w", prompt(i))); got != id || cached != 50 {
+		if got, cached := sendCall(t, vms[(i+1)%3], promptCall("w", prompt(i))); got != id || cached != 50 {
 			t.Errorf("prompt %d went to %s with %d cached tokens, want %s", i, got, cached, id)
 		}
 	}
 	for i := range want {
-		if _, cached := send(t, vms[i%3], promptCall("x", prompt(i))); cached != 0 {
+		if _, cached := sendCall(t, vms[i%3], promptCall("x", prompt(i))); cached != 0 {
 			t.Errorf("prompt %d of another workspace reuses %d tokens", i, cached)
 		}
 	}
 	vms[2].Close()
-	eventually(t, "the other VMs own all prompts", func() bool { return sharedBy(vms[:2], want) })
+	await(t, "the other VMs own all prompts", func() bool { return sharedBy(vms[:2], want) })
 }
 
 func prompt(i int) string { return strings.Repeat(fmt.Sprintf("%04d", i), 50) }
--- a/internal/daemon/serving.go
+++ b/internal/daemon/serving.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/cuminwing/cuminwing/internal/adapter/callerhttp"
 	"github.com/cuminwing/cuminwing/internal/adapter/targethttp"
@@ -15,14 +16,15 @@
 func (n *Node) startServing() error {
 	service := &serving.Service{
 		Clock:    n.clock,
-		Limiter:  unlimited{},
-		Queue:    unordered{},
+		Limiter:  n.rates,
+		Queue:    n.newQueue(),
 		Claims:   noClaims{},
 		Picker:   n.newPicker(),
 		Retries:  alwaysRetry{},
 		Engines:  targethttp.NewEngines(n.options.Dial),
+		Services: targethttp.NewServices(n.options.Dial),
 		Ledger:   discardLedger{},
-		Observer: discardObserver{},
+		Observer: n.observer,
 	}
 	n.callers = &callerhttp.Server{
 		Snapshot: n.Snapshot,
@@ -34,17 +36,50 @@
 	return nil
 }
 
+const (
+	// callerIdleTimeout is longer than the idle timeout of usual load
+	// balancers, so that it is they who close idle connections.
+	callerIdleTimeout = 3 * time.Minute
+	// maxCallerHeaderBytes bounds the header before a configuration is known;
+	// limits.max_header_bytes is checked per request.
+	maxCallerHeaderBytes = 256 << 10
+)
+
+// callerProtocols allows HTTP/2 in clear text too, for load balancers that
+// speak it.
+func callerProtocols() *http.Protocols {
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	p.SetHTTP2(true)
+	p.SetUnencryptedHTTP2(true)
+	return p
+}
+
 // startCallers binds the listener for callers.
 func (n *Node) startCallers() error {
-	server := &http.Server{Handler: n.callers.Handler(), ReadHeaderTimeout: peerReadHeaderTimeout}
+	server := &http.Server{
+		Handler:           n.callers.Handler(),
+		ReadHeaderTimeout: peerReadHeaderTimeout,
+		IdleTimeout:       callerIdleTimeout,
+		MaxHeaderBytes:    maxCallerHeaderBytes,
+		Protocols:         callerProtocols(),
+	}
 	return n.listen(n.settings.CallerAddress, server)
 }
 
-// keyCheck refuses withdrawn keys.
+// keyCheck refuses withdrawn keys, and unconfirmed keys where the workspace
+// asks for it.
 type keyCheck struct{ node *Node }
 
-func (k keyCheck) Usable(h keys.Hash, _ config.Workspace) bool {
-	return !k.node.withdrawn.Contains(h)
+func (k keyCheck) Usable(h keys.Hash, w config.Workspace) bool {
+	if k.node.withdrawn.Contains(h) {
+		return false
+	}
+	if w.OnUnconfirmedKeys != config.UnconfirmedRefuse {
+		return true
+	}
+	age, ok := k.node.distribution.lease.age(k.node.clock())
+	return ok && age <= time.Duration(w.KeyLeaseMS)*time.Millisecond
 }
 
 func (k keyCheck) Watch(ctx context.Context, h keys.Hash) (context.Context, context.CancelFunc) {
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -103,9 +103,15 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	stale := p.view != nil
 	for range maxChoices {
 		q := p.newQuery(req, hint.Blocks, holdings, answered)
 		best, ok := p.choose(q)
+		if !ok && stale {
+			// A target may have joined since the view was built.
+			p.view, stale = nil, false
+			continue
+		}
 		if !ok {
 			return nil, NoTarget
 		}
