--- a/internal/daemon/controllog.go
+++ b/internal/daemon/controllog.go
@@ -19,6 +19,10 @@
 // become one, has a replica; all others forward to the voters. Steps that add
 // parts must run before.
 func (n *Node) startControl() error {
+	if n.options.Log != nil {
+		n.log = n.options.Log(n.parts)
+		return nil
+	}
 	log := &replica.Log{
 		Voters: raft.NewVoters(n.settings.Voters),
 		URL:    n.peerURL,
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cuminwing/cuminwing/internal/adapter/callerhttp"
+	"github.com/cuminwing/cuminwing/internal/adapter/gossip"
 	"github.com/cuminwing/cuminwing/internal/adapter/replica"
 	"github.com/cuminwing/cuminwing/internal/adapter/targethttp"
 	"github.com/cuminwing/cuminwing/internal/config"
@@ -40,6 +41,8 @@
 	// Document replaces the configuration in force while the control log
 	// has none.
 	Document *config.Document
+	// Log replaces the control log; it gets the replicated parts of the VM.
+	Log func(parts map[control.Kind]control.Part) control.Log
 }
 
 // Node is one running VM.
@@ -53,12 +56,20 @@
 	snapshot  atomic.Pointer[config.Snapshot]
 	withdrawn *keys.Withdrawn
 	registry  *target.Registry
+	gossip    *gossip.Conn
 	callers   *callerhttp.Server
 
+	distribution *distribution
+	withdrawals  *withdrawals
+	// routing shares the index of cached blocks.
+	routing *routingDuty
+
 	// parts make up the replicated state; duties add theirs before
 	// startControl runs. log is nil on a VM that cannot reach any voter yet.
-	parts map[control.Kind]control.Part
-	log   control.Log
+	parts    map[control.Kind]control.Part
+	log      control.Log
+	rates    *rates
+	observer *observer
 	// replica is nil on a VM without a disk.
 	replica *replica.Replica
 
@@ -78,11 +89,20 @@
 func Start(s settings.Settings, options Options) (*Node, error) {
 	n := newNode(s, options)
 	steps := []func() error{
+		n.startWithdrawals,
+		n.startConfig,
+		n.startMembership,
 		n.startTargets,
+		n.startRates,
+		n.startObserver,
 		n.startServing,
 		n.startControl,
 		n.startStatus,
+		n.startAdmin,
 		n.startPeers,
+		n.startDistribution,
+		n.startKeyDuties,
+		n.startRouting,
 		n.startCallers,
 	}
 	for _, step := range steps {
@@ -126,7 +146,7 @@
 		MaxIdleConnsPerHost: maxIdlePeerConns,
 	}}
 	if options.Document != nil {
-		n.snapshot.Store(config.NewSnapshot(*options.Document, 1))
+		n.snapshot.Store(config.NewSnapshot(*options.Document, 0))
 	}
 	return n
 }
@@ -136,7 +156,7 @@
 
 // members returns the live VMs, this one included.
 func (n *Node) members() []membership.Member {
-	return []membership.Member{n.self()}
+	return n.gossip.Members()
 }
 
 // self describes this VM.
@@ -208,6 +228,7 @@
 func (n *Node) Shutdown(ctx context.Context) error {
 	n.draining.Store(true)
 	n.logger.Info("VM is shutting down", zap.Int64("running_requests", n.callers.Active()))
+	n.leaveMembership()
 	err := n.waitIdle(ctx)
 	n.leaveControl()
 	n.Close()
