raft: a voter with an empty disk does not vote until it is known to be new

A voter whose disk was lost came back with an empty folder and voted at once. With a second voter lost just after such a repair, a third one that lagged could win and committed entries were lost. A replica on an empty folder now asks the others of the first voter set; it may vote once all are empty, or once it has been removed and added again as a learner. Promotion and removal count only replicas that may vote. A first start needs all voters.

--- a/internal/adapter/disk/store.go
+++ b/internal/adapter/disk/store.go
@@ -24,6 +24,8 @@
 	snapshotPrefix  = "snapshot-"
 	temporarySuffix = ".tmp"
 	lockName        = "lock"
+	// newName is a file that exists until the replica is formed.
+	newName = "new"
 	// headerBytes is magic, version, four unused bytes and a number: that of
 	// the first record of a segment, or the index of a snapshot.
 	headerBytes = 8 + 4 + 4 + 8
@@ -104,6 +106,10 @@
 	if err := s.prepareFolder(); err != nil {
 		return stored, nil, err
 	}
+	isNew, err := s.markNew()
+	if err != nil {
+		return stored, nil, err
+	}
 	meta, data, err := s.loadSnapshot()
 	if err != nil {
 		return stored, nil, err
@@ -117,7 +123,7 @@
 	if err != nil {
 		return stored, nil, err
 	}
-	stored = raft.Stored{HardState: s.state, Snapshot: meta, Entries: kept}
+	stored = raft.Stored{HardState: s.state, Snapshot: meta, Entries: kept, New: isNew}
 	// Entries that are left out now must not return at the next start.
 	reset := len(entries) > 0 && len(kept) == 0
 	return stored, data, s.startSegment(reset)
@@ -141,6 +147,27 @@
 	return s.removeTemporary()
 }
 
+// markNew marks an empty folder, and reports whether the folder is marked.
+func (s *Store) markNew() (bool, error) {
+	path := filepath.Join(s.folder, newName)
+	if _, err := os.Stat(path); err == nil {
+		return true, nil
+	}
+	segments, err := s.list(segmentPrefix)
+	if err != nil || len(segments) > 0 {
+		return false, err
+	}
+	return true, s.writeAtomic(path)
+}
+
+// removeMark makes a restart start as a voter that may vote.
+func (s *Store) removeMark() error {
+	if err := os.Remove(filepath.Join(s.folder, newName)); err != nil {
+		return err
+	}
+	return syncFolder(s.folder)
+}
+
 func (s *Store) removeTemporary() error {
 	names, err := filepath.Glob(filepath.Join(s.folder, "*"+temporarySuffix))
 	if err != nil {
@@ -204,7 +231,10 @@
 			return err
 		}
 	}
-	return s.write(record{state: r.HardState, reset: r.Snapshot != nil, entries: r.Entries})
+	if err := s.write(record{state: r.HardState, reset: r.Snapshot != nil, entries: r.Entries}); err != nil || !r.Formed {
+		return err
+	}
+	return s.removeMark()
 }
 
 func (s *Store) write(r record) error {
--- a/internal/adapter/replica/codec.go
+++ b/internal/adapter/replica/codec.go
@@ -12,7 +12,7 @@
 		Kind: uint32(m.Kind), From: m.From, To: m.To, Term: m.Term,
 		Index: m.Index, LogTerm: m.LogTerm, Commit: m.Commit,
 		Reject: m.Reject, Hint: m.Hint, Sent: int64(m.Sent), Round: m.Round,
-		Transfer: m.Transfer, Offset: m.Offset, Data: m.Data,
+		Formed: m.Formed, Transfer: m.Transfer, Offset: m.Offset, Data: m.Data,
 	}
 	for _, e := range m.Entries {
 		out.Entries = append(out.Entries, &raftv1.Entry{
@@ -33,7 +33,7 @@
 		Kind: raft.MessageKind(m.GetKind()), From: m.GetFrom(), To: m.GetTo(), Term: m.GetTerm(),
 		Index: m.GetIndex(), LogTerm: m.GetLogTerm(), Commit: m.GetCommit(),
 		Reject: m.GetReject(), Hint: m.GetHint(), Sent: time.Duration(m.GetSent()), Round: m.GetRound(),
-		Transfer: m.GetTransfer(), Offset: m.GetOffset(), Data: m.GetData(),
+		Formed: m.GetFormed(), Transfer: m.GetTransfer(), Offset: m.GetOffset(), Data: m.GetData(),
 	}
 	for _, e := range m.GetEntries() {
 		out.Entries = append(out.Entries, raft.Entry{
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -39,7 +39,7 @@
 
 // handlePreVote answers without changing any state.
 func (n *Node) handlePreVote(m *Message) {
-	if n.supporting(n.config.Clock()) {
+	if n.formation.new || n.supporting(n.config.Clock()) {
 		return
 	}
 	if n.log.newer(m.Index, m.LogTerm) {
@@ -60,7 +60,7 @@
 	if n.supporting(now) && !m.Transfer {
 		free = false
 	}
-	if !free || !n.log.newer(m.Index, m.LogTerm) {
+	if !free || n.formation.new || !n.log.newer(m.Index, m.LogTerm) {
 		n.send(Message{Kind: MsgVoteResponse, To: m.From, Reject: true})
 		return
 	}
@@ -104,7 +104,7 @@
 // handleTimeoutNow campaigns without a pre-vote. The message is valid only in
 // the term of its sender, which has given up its lease before sending it.
 func (n *Node) handleTimeoutNow() {
-	if n.role == Leader || !n.log.members().Voter(n.id) {
+	if n.role == Leader || n.formation.new || !n.log.members().Voter(n.id) {
 		return
 	}
 	n.campaign(MsgVote, true)
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -161,6 +161,7 @@
 		n.log.merge(m.Entries)
 		answer.Index = m.Index + uint64(len(m.Entries))
 		n.log.commit = max(n.log.commit, min(m.Commit, answer.Index))
+		n.checkLearner()
 	default:
 		answer.Reject = true
 		answer.Index = m.Index
@@ -207,6 +208,7 @@
 
 func (n *Node) noteAnswer(p *peer, m *Message) {
 	p.heard = true
+	p.formed = m.Formed
 	p.echo = max(p.echo, m.Sent)
 	p.round = max(p.round, m.Round)
 }
@@ -214,6 +216,10 @@
 // noteRejection moves back to where the logs may match. Rejections of older
 // requests are ignored.
 func (n *Node) noteRejection(m *Message, p *peer) {
+	if m.Index+1 == p.next && m.Index == p.match && m.Hint < p.match {
+		// The replica has lost its disk.
+		p.match = m.Hint
+	}
 	if m.Index <= p.match || p.probing && m.Index+1 != p.next {
 		return
 	}
--- a/internal/raft/members.go
+++ b/internal/raft/members.go
@@ -183,5 +183,5 @@
 
 func (n *Node) peerCurrent(id string) bool {
 	p := n.peers[id]
-	return p != nil && n.active(p) && p.match >= n.log.commit
+	return p != nil && p.formed && n.active(p) && p.match >= n.log.commit
 }
--- a/internal/raft/network_test.go
+++ b/internal/raft/network_test.go
@@ -16,6 +16,8 @@
 	// disk is what survives a crash.
 	disk Stored
 	data []byte
+	// first is the disk before the first start.
+	first Stored
 	// applied and sum describe the state machine: sum is a checksum over all
 	// applied entries.
 	applied uint64
@@ -95,6 +97,8 @@
 		if i < voters {
 			h.disk.Snapshot.Members = NewVoters(addresses)
 		}
+		h.disk.New = true
+		h.first = h.disk
 	}
 	return w
 }
@@ -173,6 +177,9 @@
 	if r.HardState != nil {
 		h.disk.HardState = *r.HardState
 	}
+	if r.Formed {
+		h.disk.New = false
+	}
 	if len(r.Entries) > 0 {
 		keep := r.Entries[0].Index - h.disk.Snapshot.Index - 1
 		h.disk.Entries = append(slices.Clone(h.disk.Entries[:keep]), r.Entries...)
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -34,6 +34,8 @@
 	Snapshot  SnapshotMeta
 	// Entries directly follow the snapshot.
 	Entries []Entry
+	// New is set until a Ready has reported that the replica is formed.
+	New bool
 }
 
 // Node is one replica. It is not safe for concurrent use.
@@ -70,6 +72,7 @@
 	transferee    string
 	transferStart time.Duration
 
+	formation formation
 	snapshot  SnapshotMeta
 	incoming  *assembly
 	installed *Snapshot
@@ -91,6 +94,8 @@
 	echo  time.Duration
 	round uint64
 	heard bool
+	// formed is false while the replica may not vote.
+	formed bool
 	// sending is the index of the snapshot being sent; 0 if none.
 	sending   uint64
 	offset    uint64
@@ -112,6 +117,7 @@
 	n.log.add(stored.Entries...)
 	n.log.stable = n.log.last()
 	n.startTimer(stored.HardState.Term == 0)
+	n.initFormation(stored.New)
 	return n
 }
 
@@ -150,6 +156,10 @@
 		n.tickLeader(now)
 		return
 	}
+	if n.waiting() {
+		n.sayHello()
+		return
+	}
 	if now-n.timerStart < n.timerLength {
 		return
 	}
@@ -173,6 +183,14 @@
 
 // Step handles a message of another replica.
 func (n *Node) Step(m Message) {
+	switch m.Kind {
+	case MsgHello:
+		n.handleHello(&m)
+		return
+	case MsgHelloResponse:
+		n.handleHelloResponse(&m)
+		return
+	}
 	if m.Term > n.term && !n.stepHigher(&m) {
 		return
 	}
@@ -258,6 +276,7 @@
 
 func (n *Node) send(m Message) {
 	m.From = n.id
+	m.Formed = !n.formation.new
 	if m.Term == 0 {
 		m.Term = n.term
 	}
@@ -266,7 +285,7 @@
 
 // HasReady reports whether Ready has any work.
 func (n *Node) HasReady() bool {
-	return len(n.messages) > 0 || len(n.done) > 0 || n.installed != nil ||
+	return len(n.messages) > 0 || len(n.done) > 0 || n.installed != nil || n.formation.changed ||
 		n.log.stable < n.log.last() || n.log.applied < n.log.commit ||
 		n.saved != HardState{n.term, n.vote}
 }
@@ -278,6 +297,7 @@
 		Entries:  n.log.slice(n.log.stable+1, n.log.last()),
 		Snapshot: n.installed,
 		Reads:    n.done,
+		Formed:   n.formation.changed,
 	}
 	if state := (HardState{n.term, n.vote}); state != n.saved {
 		r.HardState = &state
@@ -295,6 +315,7 @@
 func (n *Node) Advance() {
 	own := n.messages
 	n.messages, n.done, n.installed = nil, nil, nil
+	n.formation.changed = false
 	n.saved = HardState{n.term, n.vote}
 	n.log.stable = n.log.last()
 	n.log.applied = n.log.commit
@@ -318,6 +339,8 @@
 	Last    uint64
 	First   uint64
 	Members Membership
+	// New is set while the replica may not vote because its disk was empty.
+	New bool
 	// Match maps replicas to their last stored entry; only a leader has it.
 	Match map[string]uint64
 }
@@ -328,6 +351,7 @@
 		ID: n.id, Role: n.role, Term: n.term, Leader: n.leader,
 		Commit: n.log.commit, Applied: n.log.applied,
 		First: n.log.baseIndex + 1, Last: n.log.last(), Members: n.log.members(),
+		New: n.formation.new,
 	}
 	if n.role == Leader {
 		s.Match = make(map[string]uint64, len(n.peers))
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -69,6 +69,9 @@
 	MsgSnapshotResponse MessageKind = 8
 	// MsgTimeoutNow asks a caught-up voter to campaign at once.
 	MsgTimeoutNow MessageKind = 9
+	// MsgHello asks what another replica of the first voter set has stored.
+	MsgHello         MessageKind = 10
+	MsgHelloResponse MessageKind = 11
 )
 
 // Message travels between replicas. Which fields are used depends on Kind.
@@ -97,6 +100,8 @@
 	Snapshot SnapshotMeta
 	Offset   uint64
 	Data     []byte
+	// Formed tells that the sender may vote.
+	Formed bool
 }
 
 // Promise reports whether the state must be synced before m is sent.
@@ -131,11 +136,14 @@
 	Messages  []Message
 	Committed []Entry
 	Reads     []ReadState
+	// Formed tells that this replica is no new one any more, which must be
+	// written after Entries and before the messages with a promise are sent.
+	Formed bool
 }
 
 // MustSync reports whether r has anything to write.
 func (r *Ready) MustSync() bool {
-	return r.HardState != nil || len(r.Entries) > 0 || r.Snapshot != nil
+	return r.HardState != nil || len(r.Entries) > 0 || r.Snapshot != nil || r.Formed
 }
 
 // Role is what a replica does in its term.
