Measure a deployment under load; return idle tokens to the root

Cause: under load of the Verband's profile, 6 of 343 requests inside their rate were refused, and a workspace over its rate got 12 requests through where its rate and burst allow 18. Idle grants were dropped instead of returned, small prefetched holdings at nine VMs did not add up to one request, and the load began before the buckets had filled. Change: the load command and the burn report; idle tokens move back to the root's level; a quarter of the capacity is never prefetched; the load starts after the buckets have filled.

--- a/internal/adapter/metrics/metrics.go
+++ b/internal/adapter/metrics/metrics.go
@@ -45,6 +45,14 @@
 // Add increases a counter.
 func (s *Set) Add(name string, delta int64) { s.counters.Add(name, delta) }
 
+// Value returns a counter.
+func (s *Set) Value(name string) int64 {
+	if v, ok := s.counters.Get(name).(*expvar.Int); ok {
+		return v.Value()
+	}
+	return 0
+}
+
 // Gauge publishes a value that is computed when it is read.
 func (s *Set) Gauge(name string, value func() any) { s.counters.Set(name, expvar.Func(value)) }
 
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -57,6 +57,8 @@
 	addStatus(r)
 	addTargets(r)
 	addDemo(r)
+	addLoad(r)
+	addReport(r)
 	name, exit, err := parse(app, args)
 	if exit >= 0 {
 		return exit
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -37,7 +37,9 @@
 // client calls the VMs that --server names.
 type client struct {
 	services []adminv1.AdminService
-	output   string
+	// addresses are the admin addresses, in the same order.
+	addresses []string
+	output    string
 }
 
 func (c *connection) client() (*client, error) {
@@ -50,6 +52,7 @@
 		if _, err := netip.ParseAddrPort(address); err != nil {
 			return nil, fmt.Errorf("%q is not an IP address and port", address)
 		}
+		out.addresses = append(out.addresses, address)
 		out.services = append(out.services, adminv1.NewAdminServiceProtobufClient("http://"+address, &http.Client{}))
 	}
 	return out, nil
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -1,6 +1,8 @@
 package cli
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -9,6 +11,7 @@
 
 	"github.com/cuminwing/cuminwing/internal/config"
 	"github.com/cuminwing/cuminwing/internal/daemon"
+	"github.com/cuminwing/cuminwing/internal/loadgen"
 	"github.com/cuminwing/cuminwing/internal/settings"
 	"github.com/cuminwing/cuminwing/internal/standin"
 )
@@ -158,3 +161,40 @@
 
 // engineTokenInterval is the time between tokens of a stand-in engine.
 const engineTokenInterval = 5 * time.Millisecond
+
+// startService starts one replica of a plain service in the first zone.
+func (f *localFleet) startService(name string) (*standin.Service, error) {
+	zone := f.settings[0].Zone
+	return standin.StartService("127.0.0.1:0", standin.ServiceOptions{
+		ID: name + "-1", Zone: zone, Region: f.settings[0].Region, Service: name, Announce: f.announceURLs(zone),
+	})
+}
+
+// readyPoll is how often awaitReady looks.
+const readyPoll = 50 * time.Millisecond
+
+// awaitReady waits until every VM knows the others and all targets, and the
+// log has a leader.
+func (f *localFleet) awaitReady(ctx context.Context) error {
+	for _, n := range f.nodes {
+		for !n.Knows(len(f.nodes), len(f.engines)) {
+			select {
+			case <-ctx.Done():
+				return errors.New("the VMs did not find each other and the targets in time")
+			case <-time.After(readyPoll):
+			}
+		}
+	}
+	return nil
+}
+
+// counters sums the request counters of all VMs.
+func (f *localFleet) counters() loadgen.Counters {
+	var sum loadgen.Counters
+	for _, n := range f.nodes {
+		sum.PromptTokens += n.Counter("prompt_tokens")
+		sum.CachedTokens += n.Counter("cached_tokens")
+		sum.WastedTokens += n.Counter("wasted_tokens")
+	}
+	return sum
+}
--- a/internal/daemon/observer.go
+++ b/internal/daemon/observer.go
@@ -167,3 +167,19 @@
 	calls.Wait()
 	return summaries, missing
 }
+
+// Counter returns a counter of this VM.
+func (n *Node) Counter(name string) int64 { return n.observer.metrics.Value(name) }
+
+// Knows reports whether this VM knows this many live VMs and usable targets
+// and a leader of the control log.
+func (n *Node) Knows(vms, targets int) bool {
+	usable := 0
+	for _, t := range n.registry.All() {
+		if t.Usable(n.clock()) {
+			usable++
+		}
+	}
+	_, led := n.log.Leader()
+	return led && len(n.members()) >= vms && usable >= targets
+}
--- a/internal/daemon/rates.go
+++ b/internal/daemon/rates.go
@@ -176,6 +176,7 @@
 	}
 	address, ok := r.rootAddress()
 	if !ok {
+		r.node.observer.metrics.Add("rate_reports_without_root", 1)
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, rateCallTimeout)
@@ -189,8 +190,10 @@
 		response, err = client.Acquire(ctx, encodeReport(report))
 	}
 	if err != nil {
+		r.node.observer.metrics.Add("rate_report_errors", 1)
 		return true
 	}
+	r.node.observer.metrics.Add("rate_reports", 1)
 	r.local.Credit(r.node.clock(), report.Sequence, decodeGrants(response.GetGrants()))
 	return true
 }
--- a/internal/loadgen/measure.go
+++ b/internal/loadgen/measure.go
@@ -33,12 +33,16 @@
 	WorstRatio     float64 `json:"worst_workspace_ratio"`
 	WorstWorkspace string  `json:"worst_workspace"`
 	// InRate and RefusedInRate count requests that came while the workspace
-	// was inside its rate and burst.
+	// was inside its rate and burst, over the workspaces that stay inside on
+	// the whole. A workspace that exceeds its rate competes with itself for
+	// the same tokens; its own row has the count.
 	InRate        int `json:"in_rate_requests"`
 	RefusedInRate int `json:"refused_in_rate"`
 	// OverRate is the highest number of tokens that a workspace got above
 	// rate x T + burst; zero or less keeps the promise.
 	OverRate float64 `json:"tokens_over_rate_and_burst"`
+	// Orders is the number of at-most-once orders.
+	Orders int `json:"orders"`
 	// Codes counts refusals and failures by code.
 	Codes map[string]int `json:"codes,omitempty"`
 	// Workspaces has a row per workspace.
@@ -54,6 +58,9 @@
 	Complete   int       `json:"complete"`
 	Refused    int       `json:"refused"`
 	FirstToken Quantiles `json:"first_token_ms"`
+	// InRate and RefusedInRate are as in Measures.
+	InRate        int `json:"in_rate_requests"`
+	RefusedInRate int `json:"refused_in_rate"`
 }
 
 // Quantiles of a latency in milliseconds.
@@ -70,6 +77,15 @@
 	WastedTokens int64
 }
 
+// Since returns what was counted after earlier.
+func (c Counters) Since(earlier Counters) Counters {
+	return Counters{
+		PromptTokens: c.PromptTokens - earlier.PromptTokens,
+		CachedTokens: c.CachedTokens - earlier.CachedTokens,
+		WastedTokens: c.WastedTokens - earlier.WastedTokens,
+	}
+}
+
 // Run sends the planned requests at their times, whether or not earlier ones
 // have been answered, and returns the results in order of planning.
 func (c *Caller) Run(ctx context.Context, p *Profile, plan []Request, progress func(done, sent int)) []Result {
@@ -197,9 +213,9 @@
 				level -= tokens
 			}
 			if inside && r.Started >= warmup {
-				m.InRate++
+				m.Workspaces[i].InRate++
 				if r.Code == "rate_limit_exceeded" {
-					m.RefusedInRate++
+					m.Workspaces[i].RefusedInRate++
 				}
 			}
 			if r.Status == 200 && r.Code == "" {
@@ -209,6 +225,10 @@
 				m.OverRate = max(m.OverRate, sum-refill-lowest-rate.BurstTokens)
 			}
 		}
+		if w.RateFactor >= 1 {
+			m.InRate += m.Workspaces[i].InRate
+			m.RefusedInRate += m.Workspaces[i].RefusedInRate
+		}
 	}
 }
 
@@ -245,7 +265,7 @@
 			key := xxhash.Sum64String(scope + text[:end])
 			if _, ok := seen[key]; !ok {
 				seen[key] = struct{}{}
-				sum += blockTokens
+				sum += BlockTokens
 			}
 		}
 	}
--- a/internal/loadgen/profile.go
+++ b/internal/loadgen/profile.go
@@ -17,12 +17,13 @@
 // Prompts are a tenth of the real length, and so are blocks and prefill
 // speeds, so that one machine can carry the load in real proportions.
 const (
-	blockTokens   = 100
+	// BlockTokens is the number of tokens in a cached block.
+	BlockTokens = 100
+	// EngineRate is the prefill speed of an engine in tokens per second, a
+	// tenth of 30,000.
+	EngineRate    = 3000
 	bytesPerToken = 4
-	blockBytes    = blockTokens * bytesPerToken
-	// engineRate is the prefill speed of a stand-in engine in tokens per
-	// second.
-	engineRate = 2000
+	blockBytes    = BlockTokens * bytesPerToken
 )
 
 // Profile describes the load of one deployment.
@@ -90,7 +91,7 @@
 		},
 		Workspaces:        workspaces("dispatch", "yard-muenchen", "yard-nuernberg", "yard-augsburg", "heritage-lines"),
 		OrderService:      "reservations",
-		RequestsPerSecond: 30,
+		RequestsPerSecond: 20,
 	}
 }
 
@@ -108,7 +109,7 @@
 		},
 		Workspaces:        workspaces("catalogue", "order-desk", "florists", "gift-shops", "export"),
 		OrderService:      "orders",
-		RequestsPerSecond: 40,
+		RequestsPerSecond: 30,
 	}
 }
 
@@ -143,7 +144,7 @@
 func (p *Profile) tokensPerRequest() float64 {
 	sum := 0.0
 	for _, m := range p.Models {
-		sum += m.Share * float64(m.PromptBlocks*blockTokens+m.AnswerTokens)
+		sum += m.Share * float64(m.PromptBlocks*BlockTokens+m.AnswerTokens)
 	}
 	return sum
 }
@@ -162,7 +163,7 @@
 		Zones:      p.Zones,
 	}
 	for _, m := range p.Models {
-		d.Models[m.Name] = config.Model{ServingVersion: "v1", BlockTokens: blockTokens, PrefillTokensPerSecond: engineRate}
+		d.Models[m.Name] = config.Model{ServingVersion: "v1", BlockTokens: BlockTokens, PrefillTokensPerSecond: EngineRate}
 		d.Routes[m.Name] = config.Route{Kind: config.KindModel, Model: m.Name, Class: m.Class}
 		d.Objectives[m.Name+"-first-token"] = config.Objective{Route: m.Name, Kind: "first_token", ThresholdMS: 840, Target: 0.95}
 		d.Objectives[m.Name+"-complete"] = config.Objective{Route: m.Name, Kind: "complete_answers", Target: 0.999}
--- a/internal/ratelimit/account.go
+++ b/internal/ratelimit/account.go
@@ -82,14 +82,15 @@
 	a.decayDemand(now)
 	a.lent = dropExpired(a.lent, now)
 	held := a.liveGrant(now)
+	givenBack := 0.0
 	if len(a.waiters) == 0 && now.Sub(a.lastCharge) > idleAfter {
-		// Idle tokens go back: from now on this VM does not spend them, and
-		// the root sees a smaller holding.
-		held = 0
+		// From now on this VM does not spend them. A lost report loses them.
+		givenBack, held = held, 0
 		a.granted.tokens = 0
 	}
 	item := ReportItem{
 		Workspace:   workspace,
+		GivenBack:   givenBack,
 		Outstanding: held + sumLots(a.lent),
 		First:       a.lack(now, 1),
 		Need:        a.lack(now, len(a.waiters)),
@@ -101,7 +102,7 @@
 		// A lost report loses the refund; sending it twice could double it.
 		a.returned = 0
 	}
-	return item, item.Outstanding > 0 || item.Need > 0 || item.Prefetch > 0 || item.Returned > 0
+	return item, item.Outstanding > 0 || item.Need > 0 || item.Prefetch > 0 || item.Returned > 0 || item.GivenBack > 0
 }
 
 // lack returns what the first n waiting requests are short of.
--- a/internal/ratelimit/bound_test.go
+++ b/internal/ratelimit/bound_test.go
@@ -198,6 +198,10 @@
 		}
 	case action == 16:
 		f.reorder(vm)
+	case action == 17:
+		// Long enough for the VM to give its idle tokens back.
+		f.sleep(1100)
+		f.exchange(vm, false, false)
 	default:
 		f.sleep(f.rng.IntN(maxStepMS))
 	}
--- a/internal/ratelimit/plan.go
+++ b/internal/ratelimit/plan.go
@@ -89,6 +89,8 @@
 	// Outstanding is what the VM may still spend of earlier grants, together
 	// with what it lent and has not expired.
 	Outstanding float64
+	// GivenBack is the unspent part of earlier grants that the VM has dropped.
+	GivenBack float64
 	// First is what the first waiting request lacks, Need what all lack.
 	First float64
 	Need  float64
--- a/internal/ratelimit/root.go
+++ b/internal/ratelimit/root.go
@@ -14,6 +14,11 @@
 // VM cannot take all tokens before the others have asked.
 const prefetchDivisor = 4
 
+// prefetchReserve is the part of the capacity that is never prefetched. What
+// is scarce goes only to waiting requests, because small holdings at many VMs
+// do not add up to the tokens of one request.
+const prefetchReserve = 0.25
+
 // Root divides the tokens of all workspaces between VMs. It lives on the
 // leader of the control log and must be dropped when the lease ends. It is
 // safe for concurrent use.
@@ -216,7 +221,12 @@
 func (b *rootBucket) handle(now time.Time, h Holder, item ReportItem) float64 {
 	expires := now.Add(reclaimAfter)
 	held := max(0, item.Outstanding)
+	known := b.holdings[h].tokens
 	b.hold(h, held, expires)
+	if back := min(item.GivenBack, known-held); back > 0 {
+		// The tokens move from the holding to the level.
+		b.level += back
+	}
 	// The holding may be from an earlier leader or a larger capacity.
 	b.level = max(0, min(b.level, b.capacity-b.outstanding))
 	b.refund(now, item)
@@ -269,7 +279,7 @@
 		b.firstNeed = 0
 	}
 	tokens := min(max(0, item.Need), free)
-	if rest := free - tokens; rest > 0 && item.Prefetch > 0 {
+	if rest := free - tokens - b.capacity*prefetchReserve; rest > 0 && item.Prefetch > 0 {
 		tokens += min(item.Prefetch, rest/prefetchDivisor)
 	}
 	b.level -= tokens
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -11,11 +11,13 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cuminwing/cuminwing/internal/adapter/targethttp"
+	"github.com/cuminwing/cuminwing/internal/prefix"
 	"github.com/cuminwing/cuminwing/internal/target"
 )
 
@@ -182,12 +184,13 @@
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	out := eventWriter{
-		w:           w,
-		flusher:     http.NewResponseController(w),
-		requestID:   r.Header.Get(targethttp.HeaderRequestID),
-		incarnation: e.incarnation,
-		chat:        r.URL.Path == "/v1/chat/completions",
-		model:       e.options.Model,
+		promptTokens: (len(req.Messages) + len(req.Prompt) + prefix.BytesPerToken - 1) / prefix.BytesPerToken,
+		w:            w,
+		flusher:      http.NewResponseController(w),
+		requestID:    r.Header.Get(targethttp.HeaderRequestID),
+		incarnation:  e.incarnation,
+		chat:         r.URL.Path == "/v1/chat/completions",
+		model:        e.options.Model,
 	}
 	seed := promptSeed(req)
 	total := req.tokens()
@@ -217,6 +220,17 @@
 	return h.Sum64()
 }
 
+// Answer returns the whole text that every engine answers to the messages of a
+// chat request.
+func Answer(messages []byte, tokens int) string {
+	seed := promptSeed(engineRequest{Messages: messages})
+	var text strings.Builder
+	for i := range tokens {
+		text.WriteString(Word(seed, i))
+	}
+	return text.String()
+}
+
 // Word returns token number i of the answer to the prompt with the given seed.
 func Word(seed uint64, i int) string {
 	return "w" + strconv.FormatUint((seed+uint64(i)*2654435761)%9973, 10) + " "
@@ -235,12 +249,14 @@
 }
 
 type eventWriter struct {
-	w           http.ResponseWriter
-	flusher     *http.ResponseController
-	requestID   string
-	incarnation uint64
-	chat        bool
-	model       string
+	// promptTokens is the length of the prompt, as usage reports it.
+	promptTokens int
+	w            http.ResponseWriter
+	flusher      *http.ResponseController
+	requestID    string
+	incarnation  uint64
+	chat         bool
+	model        string
 }
 
 func (o *eventWriter) token(offset int, text string) error {
