Add example deployments and shorten the way from commit to in force

The two example documents and their settings for nine VMs each are started by a test with the real control log.

The leader held back later revisions on itself for 500 ms while it waited to push hints, so VMs that pulled from it had to ask others. The push now has a goroutine of its own, and a pull from the VM that a hint names waits up to 100 ms for the revision.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -106,10 +106,24 @@
 	}
 	self := peer{s.node.settings.VM, own.GetZone(), own.GetRegion(), s.node.settings.PeerAddress, s.node.settings.Voter()}
 	response.Vms = append(s.askVMs(ctx), vmStatus(self, own))
+	if response.Leader == "" {
+		response.Leader = leaderSeen(response.Vms)
+	}
 	sort.Slice(response.Vms, func(i, j int) bool { return response.Vms[i].GetName() < response.Vms[j].GetName() })
 	return response, nil
 }
 
+// leaderSeen returns the leader that the voters see. A VM that is no voter
+// learns the leader only from its own calls to the log.
+func leaderSeen(vms []*adminv1.VM) string {
+	for _, vm := range vms {
+		if vm.GetVoter() && vm.GetLeader() != "" {
+			return vm.GetLeader()
+		}
+	}
+	return ""
+}
+
 func (s adminServer) askVMs(ctx context.Context) []*adminv1.VM {
 	ctx, cancel := context.WithTimeout(ctx, hintTimeout)
 	defer cancel()
--- a/internal/daemon/distribution.go
+++ b/internal/daemon/distribution.go
@@ -44,8 +44,9 @@
 	// raised is closed and replaced when the revision rises.
 	raised chan struct{}
 
-	// applied, persist and hints wake the duties.
+	// applied, push, persist and hints wake the duties.
 	applied chan struct{}
+	push    chan struct{}
 	persist chan struct{}
 	hints   chan hint
 }
@@ -67,6 +68,7 @@
 		node:    n,
 		raised:  make(chan struct{}),
 		applied: make(chan struct{}, 1),
+		push:    make(chan struct{}, 1),
 		persist: make(chan struct{}, 1),
 		hints:   make(chan hint, hintQueue),
 	}
@@ -84,6 +86,7 @@
 func (n *Node) startDistribution() error {
 	d := n.distribution
 	n.duty(d.publishApplied)
+	n.duty(d.pushHints)
 	n.duty(d.follow)
 	n.duty(func(ctx context.Context) {
 		every(ctx, configCheckInterval, func() { d.check(ctx) })
@@ -153,7 +156,7 @@
 		case <-d.applied:
 		}
 		if d.adopt(d.part.State()) {
-			d.hintMembers(ctx)
+			wake(d.push)
 		}
 	}
 }
--- a/internal/daemon/distribution_pull.go
+++ b/internal/daemon/distribution_pull.go
@@ -18,6 +18,9 @@
 	// pullStagger is the wait for one source before the next is asked too. It
 	// is above a round trip between regions, 60 ms.
 	pullStagger = 150 * time.Millisecond
+	// maxExpectedWait is how long a Pull call waits for a revision that the VM
+	// was named for: a commit and its application take some milliseconds.
+	maxExpectedWait = 100 * time.Millisecond
 	// pullPause separates two rounds over the sources.
 	pullPause = 50 * time.Millisecond
 	// maxPullChanges is the number of changes above which the whole document
@@ -84,7 +87,11 @@
 	answered := make(chan struct{}, maxPullSources)
 	for _, address := range d.pullSources(h.address) {
 		calls.Go(func() {
-			if _, err := d.pullFrom(ctx, address, d.revision()); err != nil {
+			request := &configv1.PullRequest{Since: d.revision()}
+			if address == h.address {
+				request.Expected = h.revision
+			}
+			if _, err := d.pullFrom(ctx, address, request); err != nil {
 				d.node.logger.Debug("pull failed", zap.String("peer", address), zap.Error(err))
 			}
 			answered <- struct{}{}
@@ -129,18 +136,18 @@
 
 // pullFrom brings this VM to the revision of another. When a change does not
 // follow the present state, it asks once more for the whole document.
-func (d *distribution) pullFrom(ctx context.Context, address string, since uint64) (*configv1.PullResponse, error) {
+func (d *distribution) pullFrom(ctx context.Context, address string, request *configv1.PullRequest) (*configv1.PullResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	client := configv1.NewConfigServiceProtobufClient(d.node.peerURL(address), d.node.peerClient)
-	answer, err := client.Pull(ctx, &configv1.PullRequest{Since: since})
+	answer, err := client.Pull(ctx, request)
 	if err != nil {
 		return nil, err
 	}
 	err = d.applyPull(answer)
 	var gap *sections.GapError
-	if errors.As(err, &gap) && since > 0 {
-		return d.pullFrom(ctx, address, 0)
+	if errors.As(err, &gap) && request.GetSince() > 0 {
+		return d.pullFrom(ctx, address, &configv1.PullRequest{})
 	}
 	return answer, err
 }
@@ -174,7 +181,12 @@
 type configServer struct{ d *distribution }
 
 // Pull implements configv1.ConfigService.
-func (s configServer) Pull(_ context.Context, req *configv1.PullRequest) (*configv1.PullResponse, error) {
+func (s configServer) Pull(ctx context.Context, req *configv1.PullRequest) (*configv1.PullResponse, error) {
+	if req.GetExpected() > s.d.revision() {
+		wait, cancel := context.WithTimeout(ctx, maxExpectedWait)
+		s.d.awaitRevision(wait, req.GetExpected())
+		cancel()
+	}
 	state := s.d.state.Load()
 	answer := &configv1.PullResponse{
 		Revision:  state.Revision,
--- /dev/null
+++ b/internal/daemon/examples_test.go
@@ -0,0 +1,163 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cuminwing/cuminwing/internal/config"
+	"github.com/cuminwing/cuminwing/internal/settings"
+	adminv1 "github.com/cuminwing/cuminwing/proto/admin/v1"
+	configv1 "github.com/cuminwing/cuminwing/proto/config/v1"
+)
+
+// loadExample returns the settings of an example deployment on free addresses
+// and with data folders of the test.
+func loadExample(t testing.TB, name string) []settings.Settings {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join("..", "..", "examples", name, "*.json"))
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no settings files of %s: %v", name, err)
+	}
+	free := make(map[string]string)
+	move := func(address *string) {
+		if free[*address] == "" {
+			free[*address] = testAddress(t)
+		}
+		*address = free[*address]
+	}
+	var all []settings.Settings
+	for _, file := range files {
+		s, err := settings.Load(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, a := range []*string{&s.CallerAddress, &s.TargetAddress, &s.PeerAddress, &s.GossipAddress, &s.AdminAddress} {
+			move(a)
+		}
+		for i := range s.Join {
+			move(&s.Join[i])
+		}
+		for vm, address := range s.Voters {
+			move(&address)
+			s.Voters[vm] = address
+		}
+		if s.DataFolder != "" {
+			s.DataFolder = t.TempDir()
+		}
+		all = append(all, s)
+	}
+	return all
+}
+
+func startExample(t testing.TB, name string) []*Node {
+	t.Helper()
+	var nodes []*Node
+	for _, s := range loadExample(t, name) {
+		n, err := Start(s, Options{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(n.Close)
+		nodes = append(nodes, n)
+	}
+	return nodes
+}
+
+func awaitExample(t testing.TB, nodes []*Node) uint64 {
+	t.Helper()
+	await(t, "all VMs are members with the first document", func() bool {
+		for _, n := range nodes {
+			if n.distribution.revision() == 0 || len(n.members()) != len(nodes) {
+				return false
+			}
+		}
+		return true
+	})
+	return nodes[0].distribution.revision()
+}
+
+// Guards the example deployments: their settings must fit their document.
+func TestExampleSettingsFitDocument(t *testing.T) {
+	for _, name := range []string{"verband", "zielnik"} {
+		document, err := config.LoadFile(filepath.Join("..", "..", "examples", name+".json"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		slots := make(map[string]bool)
+		for _, s := range loadExample(t, name) {
+			zone := document.Zones[s.Zone]
+			slot := fmt.Sprint(s.Zone, "/", s.Slot)
+			if zone.Region != s.Region || s.Slot >= zone.VMSlots || slots[slot] {
+				t.Errorf("%s: VM %s does not fit the zones of the document", name, s.VM)
+			}
+			slots[slot] = true
+			if len(s.Voters) != 3 {
+				t.Errorf("%s: VM %s has %d voters, want 3", name, s.VM, len(s.Voters))
+			}
+		}
+		if len(slots) != 9 {
+			t.Errorf("%s has %d VMs, want 9", name, len(slots))
+		}
+	}
+}
+
+// Guards the whole way of a configuration: nine VMs with a real control log
+// start with empty data folders, VMs without a disk get the document from
+// peers, and an edit made at any VM is in force on all.
+func TestExampleDeploymentTakesEdits(t *testing.T) {
+	nodes := startExample(t, "verband")
+	awaitExample(t, nodes)
+	for i, n := range []*Node{nodes[8], nodes[0]} {
+		section := n.distribution.state.Load().Sections[config.SectionRates]
+		response := applyEdit(t, n, exampleEdit(fmt.Sprint("e", i), section.Revision, 1000+i))
+		wantAccepted(t, response)
+		for _, z := range response.GetZones() {
+			if !z.GetComplete() || z.GetKnown() != 3 {
+				t.Errorf("zone %s: %d of %d VMs have the edit", z.GetZone(), z.GetConfirmed(), z.GetKnown())
+			}
+		}
+	}
+	status, err := adminOf(nodes[4]).Status(context.Background(), &adminv1.StatusRequest{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, vm := range status.GetVms() {
+		if !vm.GetReached() || vm.GetRevision() != status.GetRevision() {
+			t.Errorf("VM %s: reached %v, revision %d, want %d", vm.GetName(), vm.GetReached(), vm.GetRevision(), status.GetRevision())
+		}
+	}
+	if len(status.GetVms()) != 9 || status.GetLeader() == "" {
+		t.Errorf("status shows %d VMs and leader %q", len(status.GetVms()), status.GetLeader())
+	}
+}
+
+func exampleEdit(id string, base uint64, rate int) *configv1.Edit {
+	patch := fmt.Sprintf(`{"ankauf":{"rate_tokens_per_second":%d}}`, rate)
+	return &configv1.Edit{Id: id, Sections: []*configv1.SectionEdit{{Section: "rates", BaseRevision: base, Patch: []byte(patch)}}}
+}
+
+// BenchmarkCommitToInForce measures the time from the proposal of an edit at a
+// VM without a disk until all nine VMs have it in force.
+func BenchmarkCommitToInForce(b *testing.B) {
+	nodes := startExample(b, "verband")
+	base := awaitExample(b, nodes)
+	var times []time.Duration
+	for i := 0; b.Loop(); i++ {
+		start := time.Now()
+		response := applyEdit(b, nodes[8], exampleEdit(fmt.Sprint("bench", i), base, 1000+i))
+		times = append(times, time.Since(start))
+		base = wantAccepted(b, response)
+		for _, z := range response.GetZones() {
+			if !z.GetComplete() {
+				b.Fatalf("zone %s is not reached", z.GetZone())
+			}
+		}
+	}
+	slices.Sort(times)
+	b.ReportMetric(float64(times[len(times)/2].Microseconds())/1000, "ms-p50")
+	b.ReportMetric(float64(times[len(times)*99/100].Microseconds())/1000, "ms-p99")
+}
--- a/internal/daemon/inforce.go
+++ b/internal/daemon/inforce.go
@@ -141,17 +141,28 @@
 	return answer.GetZone(), answer.GetRevision() >= h.revision
 }
 
-// hintMembers is the leader's push. It covers the case that the VM that
-// accepted the edit dies before it has told the others.
-func (d *distribution) hintMembers(ctx context.Context) {
-	if d.node.log == nil || !d.node.log.HoldsLease() {
-		return
-	}
-	select {
-	case <-ctx.Done():
-		return
-	case <-time.After(leaderHintDelay):
+// pushHints is the leader's push. It covers the case that the VM that accepted
+// the edit dies before it has told the others. It has a goroutine of its own,
+// because the delay must not hold up later revisions on this VM.
+func (d *distribution) pushHints(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.push:
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(leaderHintDelay):
+		}
+		if d.node.log != nil && d.node.log.HoldsLease() {
+			d.hintMembers(ctx)
+		}
 	}
+}
+
+func (d *distribution) hintMembers(ctx context.Context) {
 	behind := d.membersBehind()
 	h := hint{d.revision(), d.node.settings.PeerAddress}
 	ctx, cancel := context.WithTimeout(ctx, hintTimeout)
--- a/internal/daemon/keylease.go
+++ b/internal/daemon/keylease.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	configv1 "github.com/cuminwing/cuminwing/proto/config/v1"
 )
 
 const (
@@ -154,7 +156,7 @@
 // counted into the age.
 func (d *distribution) checkPeer(ctx context.Context, p peer) (time.Duration, bool) {
 	asked := d.node.clock()
-	answer, err := d.pullFrom(ctx, p.address, d.revision())
+	answer, err := d.pullFrom(ctx, p.address, &configv1.PullRequest{Since: d.revision()})
 	if err != nil {
 		d.node.logger.Debug("check failed", zap.String("vm", p.vm), zap.Error(err))
 		return 0, false
