--- a/internal/daemon/serving.go
+++ b/internal/daemon/serving.go
@@ -9,22 +9,26 @@
 	"github.com/cuminwing/cuminwing/internal/adapter/targethttp"
 	"github.com/cuminwing/cuminwing/internal/config"
 	"github.com/cuminwing/cuminwing/internal/keys"
+	"github.com/cuminwing/cuminwing/internal/retry"
 	"github.com/cuminwing/cuminwing/internal/serving"
 )
 
 // startServing builds the request path.
 func (n *Node) startServing() error {
+	health := retry.NewHealth(n.clock)
+	engines := n.newPicker()
+	engines.Health = health
 	service := &serving.Service{
 		Clock:    n.clock,
 		Limiter:  n.rates,
 		Queue:    n.newQueue(),
-		Claims:   noClaims{},
-		Picker:   n.newPicker(),
-		Retries:  alwaysRetry{},
+		Claims:   n.startClaims(),
+		Picker:   n.newTargetPicker(engines, health),
+		Retries:  retry.NewBudgets(),
 		Engines:  targethttp.NewEngines(n.options.Dial),
 		Services: targethttp.NewServices(n.options.Dial),
 		Ledger:   discardLedger{},
-		Observer: discardObserver{},
+		Observer: n.observer,
 	}
 	n.callers = &callerhttp.Server{
 		Snapshot: n.Snapshot,
