--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -101,6 +101,20 @@
 	}
 }
 
+// Guards against a number that makes the schema library panic or compute for
+// hours, which would stop every voter that applies the edit.
+func TestHugeNumbersAreRefused(t *testing.T) {
+	for _, number := range []string{"1e9999999", "1e-9999999", "1E+400", strings.Repeat("9", 5000)} {
+		contents, err := ParseContents([]byte(`{"w":{"burst_tokens":1,"rate_tokens_per_second":` + number + `,"new":[` + number + `]}}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if problems := CheckMembers(SectionRates, contents, []string{"w"}); len(problems) != 2 {
+			t.Errorf("%.20s: %v, want two problems", number, problems)
+		}
+	}
+}
+
 // Guards against a schema that forgets a field, invents one, or states another
 // default than the daemon uses.
 func TestSchemaMatchesTypes(t *testing.T) {
--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"strings"
 	"sync"
 
 	"github.com/santhosh-tekuri/jsonschema/v6"
@@ -88,6 +89,9 @@
 	if err != nil {
 		return []Problem{{Path: path, Reason: err.Error()}}
 	}
+	if problems := hugeNumbers(path, value); len(problems) > 0 {
+		return problems
+	}
 	var invalid *jsonschema.ValidationError
 	if err := schema.Validate(value); !errors.As(err, &invalid) {
 		return nil
@@ -95,6 +99,46 @@
 	return leaves(path, invalid)
 }
 
+// maxNumberLength and maxExponent bound numbers before the schema sees them:
+// its library computes with exact fractions and panics at exponents of
+// millions. A float64 has exponents up to 308.
+const (
+	maxNumberLength = 64
+	maxExponent     = 308
+)
+
+// hugeNumbers reports the numbers that no field can hold.
+func hugeNumbers(path string, value any) []Problem {
+	var problems []Problem
+	switch v := value.(type) {
+	case json.Number:
+		if !boundedNumber(string(v)) {
+			problems = []Problem{{Path: path, Reason: "is a number out of range"}}
+		}
+	case []any:
+		for i, item := range v {
+			problems = append(problems, hugeNumbers(fmt.Sprintf("%s[%d]", path, i), item)...)
+		}
+	case map[string]any:
+		for name, item := range v {
+			problems = append(problems, hugeNumbers(path+"."+name, item)...)
+		}
+	}
+	return problems
+}
+
+func boundedNumber(text string) bool {
+	if len(text) > maxNumberLength {
+		return false
+	}
+	_, exponent, has := strings.Cut(strings.ToLower(text), "e")
+	if !has {
+		return true
+	}
+	n, err := strconv.Atoi(exponent)
+	return err == nil && n >= -maxExponent && n <= maxExponent
+}
+
 var english = message.NewPrinter(language.English)
 
 // leaves returns the errors that have no cause of their own.
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -71,20 +71,23 @@
 func (v *validator) checkWorkspaces() {
 	owners := make(map[keys.Hash]string)
 	for _, name := range sortedNames(v.doc.Workspaces) {
-		w := v.doc.Workspaces[name]
-		path := "workspaces." + name
-		if w.Weight <= 0 {
-			v.addf(path+".weight", "must be positive")
-		}
-		if !oneOf(w.OnUnconfirmedKeys, UnconfirmedServe, UnconfirmedRefuse) {
-			v.addf(path+".on_unconfirmed_keys", "is %q, want %q or %q", w.OnUnconfirmedKeys, UnconfirmedServe, UnconfirmedRefuse)
-		}
-		if w.KeyLeaseMS < MinKeyLeaseMS {
-			v.addf(path+".key_lease_ms", "must be at least %d", MinKeyLeaseMS)
-		}
-		for i, k := range w.Keys {
-			v.checkKey(fmt.Sprintf("%s.keys[%d]", path, i), name, k, owners)
-		}
+		v.checkWorkspace(name, v.doc.Workspaces[name], owners)
+	}
+}
+
+func (v *validator) checkWorkspace(name string, w Workspace, owners map[keys.Hash]string) {
+	path := "workspaces." + name
+	if w.Weight <= 0 {
+		v.addf(path+".weight", "must be positive")
+	}
+	if !oneOf(w.OnUnconfirmedKeys, UnconfirmedServe, UnconfirmedRefuse) {
+		v.addf(path+".on_unconfirmed_keys", "is %q, want %q or %q", w.OnUnconfirmedKeys, UnconfirmedServe, UnconfirmedRefuse)
+	}
+	if w.KeyLeaseMS < MinKeyLeaseMS {
+		v.addf(path+".key_lease_ms", "must be at least %d", MinKeyLeaseMS)
+	}
+	for i, k := range w.Keys {
+		v.checkKey(fmt.Sprintf("%s.keys[%d]", path, i), name, k, owners)
 	}
 }
 
@@ -106,27 +109,35 @@
 
 func (v *validator) checkRates() {
 	for name, r := range v.doc.Rates {
-		path := "rates." + name
-		if _, ok := v.doc.Workspaces[name]; !ok {
-			v.addf(path, "workspace %q does not exist", name)
-		}
-		if r.RateTokensPerSecond <= 0 {
-			v.addf(path+".rate_tokens_per_second", "must be positive")
-		}
-		if r.BurstTokens <= 0 {
-			v.addf(path+".burst_tokens", "must be positive")
-		}
-		if r.BurstTokens*r.FloorFraction < 1 && r.BurstTokens > 0 {
-			v.addf(path+".burst_tokens", "times floor_fraction must be at least 1 token, or a zone that is cut off admits nothing")
-		}
-		if r.FloorFraction < 0 || r.FloorFraction > 1 {
-			v.addf(path+".floor_fraction", "must be between 0 and 1")
-		}
+		v.checkRate(name, r)
 	}
 	for name := range v.doc.Workspaces {
-		if _, ok := v.doc.Rates[name]; !ok {
-			v.addf("rates", "workspace %q has no rate", name)
-		}
+		v.checkHasRate(name)
+	}
+}
+
+func (v *validator) checkHasRate(workspace string) {
+	if _, ok := v.doc.Rates[workspace]; !ok {
+		v.addf("rates", "workspace %q has no rate", workspace)
+	}
+}
+
+func (v *validator) checkRate(name string, r Rate) {
+	path := "rates." + name
+	if _, ok := v.doc.Workspaces[name]; !ok {
+		v.addf(path, "workspace %q does not exist", name)
+	}
+	if r.RateTokensPerSecond <= 0 {
+		v.addf(path+".rate_tokens_per_second", "must be positive")
+	}
+	if r.BurstTokens <= 0 {
+		v.addf(path+".burst_tokens", "must be positive")
+	}
+	if r.BurstTokens*r.FloorFraction < 1 && r.BurstTokens > 0 {
+		v.addf(path+".burst_tokens", "times floor_fraction must be at least 1 token, or a zone that is cut off admits nothing")
+	}
+	if r.FloorFraction < 0 || r.FloorFraction > 1 {
+		v.addf(path+".floor_fraction", "must be between 0 and 1")
 	}
 }
 
--- /dev/null
+++ b/internal/control/sections/bench_test.go
@@ -0,0 +1,161 @@
+package sections
+
+import (
+	"fmt"
+	"testing"
+
+	configv1 "github.com/cuminwing/cuminwing/proto/config/v1"
+	"google.golang.org/protobuf/proto"
+)
+
+// Sizes of the design: workspaces, and edits of one day.
+const (
+	designWorkspaces = 1900
+	designEdits      = 2300
+)
+
+// designLog returns the commands of a day: the first document and edits that
+// each change one workspace.
+func designLog(tb testing.TB) [][]byte {
+	tb.Helper()
+	edits := []*configv1.Edit{firstEdit(tb, designWorkspaces)}
+	for i := range designEdits {
+		workspace := fmt.Sprintf("workspace-%04d", i%designWorkspaces)
+		edits = append(edits, rateEdit(fmt.Sprintf("edit-%024d", i), uint64(i+1), workspace, i+1))
+	}
+	commands := make([][]byte, len(edits))
+	for i, e := range edits {
+		body, err := proto.Marshal(e)
+		if err != nil {
+			tb.Fatal(err)
+		}
+		commands[i] = body
+	}
+	return commands
+}
+
+func replay(tb testing.TB, commands [][]byte) *Part {
+	tb.Helper()
+	p := newPart()
+	for i, c := range commands {
+		p.Apply(uint64(i+1), applied, c)
+	}
+	if p.State().Revision != uint64(len(commands)) {
+		tb.Fatalf("revision %d after %d edits", p.State().Revision, len(commands))
+	}
+	return p
+}
+
+// BenchmarkRestartFromLog replays a day without a snapshot.
+func BenchmarkRestartFromLog(b *testing.B) {
+	commands := designLog(b)
+	for b.Loop() {
+		replay(b, commands)
+	}
+}
+
+// BenchmarkRestartFromSnapshot restores the same state from a snapshot.
+func BenchmarkRestartFromSnapshot(b *testing.B) {
+	data, err := replay(b, designLog(b)).Snapshot()
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(float64(len(data)), "snapshot-bytes")
+	for b.Loop() {
+		if err := newPart().Restore(data); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkApplyEdit applies one edit of one workspace at design size and
+// reports the bytes of the command.
+func BenchmarkApplyEdit(b *testing.B) {
+	p := newPart()
+	apply(b, p, 1, firstEdit(b, designWorkspaces))
+	index, size := uint64(1), 0
+	for b.Loop() {
+		body, err := proto.Marshal(rateEdit(fmt.Sprintf("edit-%024d", index), index, "workspace-0007", int(index)))
+		if err != nil {
+			b.Fatal(err)
+		}
+		size = len(body)
+		index++
+		p.Apply(index, applied, body)
+	}
+	if p.State().Revision != index {
+		b.Fatal("an edit was refused")
+	}
+	b.ReportMetric(float64(size), "command-bytes")
+}
+
+// BenchmarkAddKeyBytes reports the command that adds a key to one of 1,900
+// workspaces, which repeats the keys of that workspace only.
+func BenchmarkAddKeyBytes(b *testing.B) {
+	p := newPart()
+	apply(b, p, 1, firstEdit(b, designWorkspaces))
+	key := testDocument(1).Workspaces["workspace-0000"].Keys[0]
+	key.ID = "added"
+	var size, document int
+	for b.Loop() {
+		state := p.State()
+		patch, err := state.Sections["workspaces"].Contents.AppendKey("workspace-0007", key)
+		if err != nil {
+			b.Fatal(err)
+		}
+		edit := &configv1.Edit{Id: "edit-000000000000000000000000", Operator: "operator", Sections: []*configv1.SectionEdit{
+			{Section: "workspaces", BaseRevision: 1, Patch: patch},
+		}}
+		size = proto.Size(edit)
+		document = proto.Size(state.EncodeDocument())
+	}
+	b.ReportMetric(float64(size), "command-bytes")
+	b.ReportMetric(float64(document), "document-bytes")
+}
+
+// FuzzDecode guards the decoder of states, which come from peers and files.
+func FuzzDecode(f *testing.F) {
+	p := newPart()
+	apply(f, p, 1, firstEdit(f, 2))
+	apply(f, p, 2, rateEdit("a", 1, "workspace-0001", 5))
+	data, err := p.State().Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := Decode(data)
+		if err != nil {
+			return
+		}
+		again, err := s.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Decode(again); err != nil {
+			t.Fatalf("an accepted state does not decode again: %v", err)
+		}
+	})
+}
+
+// FuzzApply guards the state machine against commands of any content: it must
+// not panic, and its snapshot must restore.
+func FuzzApply(f *testing.F) {
+	body, err := proto.Marshal(rateEdit("a", 1, "workspace-0001", 5))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(body)
+	f.Fuzz(func(t *testing.T, body []byte) {
+		p := newPart()
+		apply(t, p, 1, firstEdit(t, 2))
+		p.Apply(2, applied, body)
+		data, err := p.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := newPart().Restore(data); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- a/internal/control/sections/part.go
+++ b/internal/control/sections/part.go
@@ -25,6 +25,8 @@
 type Part struct {
 	state   atomic.Pointer[State]
 	changed func()
+	// checker validates changes of the document in state.
+	checker *config.Checker
 
 	results map[string]*configv1.EditResult
 	// order holds the edit IDs of results, oldest first.
@@ -35,6 +37,7 @@
 func NewPart(changed func()) *Part {
 	p := &Part{changed: changed, results: make(map[string]*configv1.EditResult)}
 	p.state.Store(NewState())
+	p.checker = config.NewChecker(config.Document{})
 	return p
 }
 
@@ -77,9 +80,9 @@
 		return
 	}
 	change := &configv1.Change{Revision: index, Previous: current.Revision, TimeMs: now.UnixMilli(), Edit: edit}
-	next, problems := current.merge(change, withSchema)
+	next, changed, problems := current.merge(change, withSchema)
 	if len(problems) == 0 {
-		problems = next.Document.Validate()
+		problems = p.checker.Check(current.Document, next.Document, changed)
 	}
 	if len(problems) > 0 {
 		invalid(result, problems...)
@@ -87,6 +90,7 @@
 	}
 	result.Outcome = configv1.Outcome_OUTCOME_ACCEPTED
 	result.Revision = index
+	p.checker.Accept(current.Document, next.Document, changed)
 	p.state.Store(next)
 	p.changed()
 }
@@ -163,6 +167,7 @@
 	for _, result := range message.GetResults() {
 		p.store(result)
 	}
+	p.checker = config.NewChecker(state.Document)
 	p.state.Store(state)
 	p.changed()
 	return nil
--- a/internal/control/sections/state.go
+++ b/internal/control/sections/state.go
@@ -68,7 +68,7 @@
 	if change.GetRevision() <= s.Revision {
 		return nil, fmt.Errorf("change has revision %d, but the document is at revision %d", change.GetRevision(), s.Revision)
 	}
-	next, problems := s.merge(change, decodeOnly)
+	next, _, problems := s.merge(change, decodeOnly)
 	if len(problems) > 0 {
 		return nil, &config.InvalidError{Problems: problems}
 	}
@@ -85,8 +85,9 @@
 	withSchema checking = true
 )
 
-// merge applies the patches of change. It reports every problem found.
-func (s *State) merge(change *configv1.Change, check checking) (*State, []config.Problem) {
+// merge applies the patches of change. It returns the members that the patches
+// mention and every problem found.
+func (s *State) merge(change *configv1.Change, check checking) (*State, map[config.Section][]string, []config.Problem) {
 	next := &State{
 		Revision:     change.GetRevision(),
 		Sections:     maps.Clone(s.Sections),
@@ -95,28 +96,31 @@
 		historyBytes: s.historyBytes,
 	}
 	var problems []config.Problem
+	changed := make(map[config.Section][]string)
 	for _, edit := range change.GetEdit().GetSections() {
-		problems = append(problems, next.mergeSection(change, edit, check)...)
+		names, found := next.mergeSection(change, edit, check)
+		changed[config.Section(edit.GetSection())] = names
+		problems = append(problems, found...)
 	}
 	next.remember(change)
-	return next, problems
+	return next, changed, problems
 }
 
-func (s *State) mergeSection(change *configv1.Change, edit *configv1.SectionEdit, check checking) []config.Problem {
+func (s *State) mergeSection(change *configv1.Change, edit *configv1.SectionEdit, check checking) ([]string, []config.Problem) {
 	name := config.Section(edit.GetSection())
 	contents, changed, err := s.Sections[name].Contents.Merge(edit.GetPatch())
 	if err != nil {
-		return []config.Problem{{Path: string(name), Reason: err.Error()}}
+		return nil, []config.Problem{{Path: string(name), Reason: err.Error()}}
 	}
 	var problems []config.Problem
 	if check == withSchema {
 		if problems = config.CheckMembers(name, contents, changed); len(problems) > 0 {
-			return problems
+			return changed, problems
 		}
 	}
 	s.Document, problems = s.Document.WithMembers(name, contents, changed)
 	s.Sections[name] = Section{Revision: change.GetRevision(), EditID: change.GetEdit().GetId(), Contents: contents}
-	return problems
+	return changed, problems
 }
 
 func (s *State) remember(change *configv1.Change) {
