--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -37,8 +37,14 @@
 	// thought dead, so that a cut heals by itself.
 	reviveInterval = 5 * time.Second
 	// joinInterval is the time between two tries to join while alone.
-	joinInterval = time.Second
-	// syncInterval is the least time between two requests for state.
+	joinInterval = 500 * time.Millisecond
+	// joinPeriod is how long after its start a VM keeps asking join addresses
+	// that no live member has.
+	joinPeriod = 10 * time.Second
+	// maxJoinRequests bounds the join addresses asked at once.
+	maxJoinRequests = 3
+	// syncInterval is the least time between two requests for state to one
+	// address.
 	syncInterval = 2 * time.Second
 	// mismatchGrace is how long a difference of state may be news in flight.
 	mismatchGrace = time.Second
@@ -89,7 +95,9 @@
 	nextDigest   time.Time
 	nextRevive   time.Time
 	nextJoin     time.Time
-	nextSync     time.Time
+	started      time.Time
+	// nextSync holds the earliest time of the next request per address.
+	nextSync map[string]time.Time
 }
 
 // entry is a member with what the observer adds.
@@ -112,6 +120,8 @@
 		zones:    make(map[string]*zoneState),
 		news:     make(map[string]*newsItem),
 		relays:   make(map[uint64]relay),
+		started:  now,
+		nextSync: make(map[string]time.Time),
 	}
 	core.self.Status = Alive
 	core.self.Version = 1
@@ -201,13 +211,11 @@
 // Members returns the live members, sorted by name, this VM included unless
 // it left. Members of a zone that is cut off are not live.
 func (c *Core) Members(now time.Time) []Member {
-	var out []Member
-	for _, e := range c.members {
-		if e.live() && c.reachable(e.Zone, now) {
-			out = append(out, e.Member)
-		}
+	live := c.sorted(func(e *entry) bool { return e.live() && c.reachable(e.Zone, now) })
+	out := make([]Member, len(live))
+	for i, e := range live {
+		out[i] = e.Member
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].VM < out[j].VM })
 	return out
 }
 
@@ -231,9 +239,15 @@
 
 // inZone returns the live members of a zone, sorted by name.
 func (c *Core) inZone(zone string) []*entry {
+	return c.sorted(func(e *entry) bool { return e.Zone == zone && e.live() })
+}
+
+// sorted returns the members that keep selects, by name. The order keeps runs
+// with the same random source the same.
+func (c *Core) sorted(keep func(*entry) bool) []*entry {
 	var out []*entry
 	for _, e := range c.members {
-		if e.Zone == zone && e.live() {
+		if keep(e) {
 			out = append(out, e)
 		}
 	}
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -53,10 +53,13 @@
 		c.storeMember(now, u.Member, u.Incarnation == old.Incarnation)
 		return
 	}
-	if u.Incarnation != old.Incarnation {
+	former := u.Status == Dead || u.Status == Left
+	if u.Incarnation != old.Incarnation && !former {
+		// A new incarnation may have other addresses; they come by sync.
 		return
 	}
 	m := old.Member
+	m.Incarnation = u.Incarnation
 	m.Version, m.Status = u.Version, u.Status
 	m.ConfigRevision, m.KeyDigest = u.ConfigRevision, u.KeyDigest
 	c.storeMember(now, m, true)
@@ -172,12 +175,13 @@
 	return ack
 }
 
-// requestSync asks for the state of zones, at most once per syncInterval.
+// requestSync asks for the state of zones, at most once per syncInterval and
+// address.
 func (c *Core) requestSync(now time.Time, to string, zones []string, pullBack bool) {
-	if now.Before(c.nextSync) {
+	if now.Before(c.nextSync[to]) {
 		return
 	}
-	c.nextSync = now.Add(syncInterval)
+	c.nextSync[to] = now.Add(syncInterval)
 	c.send(to, Message{
 		Kind:     KindSyncRequest,
 		Zones:    zones,
@@ -196,10 +200,12 @@
 		page = newPage(KindSync)
 	}
 	wanted := zoneSet(zones)
-	for _, e := range c.members {
-		if e.live() && wanted.has(e.Zone) && !page.addUpdate(Update{Member: e.Member}) {
+	for _, e := range c.sorted(func(e *entry) bool { return wanted.has(e.Zone) }) {
+		// Former members matter only to VMs that still hold them for live.
+		u := Update{Member: e.Member, Brief: !e.live()}
+		if !page.addUpdate(u) {
 			flush()
-			page.addUpdate(Update{Member: e.Member})
+			page.addUpdate(u)
 		}
 	}
 	for _, t := range c.registry.All() {
--- a/internal/membership/news.go
+++ b/internal/membership/news.go
@@ -45,6 +45,16 @@
 	return bits.Len(uint(zone)) + 1
 }
 
+// farTicks is how often news that takes nothing back is passed on if it comes
+// from another zone. VMs that are left out find out by digests. At a start of
+// the whole fleet this is most of the traffic.
+func (c *Core) farTicks(joined bool) int {
+	if joined {
+		return 2
+	}
+	return 1
+}
+
 func (c *Core) crossTicks(own bool) int {
 	if own {
 		return crossTicks
@@ -61,8 +71,8 @@
 		cross:  c.crossTicks(m.Zone == c.self.Zone),
 		update: &Update{Member: m, Brief: brief},
 	}
-	if m.Status == Alive && brief && m.Zone != c.self.Zone {
-		item.ticks = 1
+	if m.Status == Alive && m.Zone != c.self.Zone {
+		item.ticks = c.farTicks(!brief)
 	}
 	if c.quiet && m.Zone != c.self.Zone {
 		item.ticks = 0
@@ -89,6 +99,9 @@
 			heard:  heard,
 			target: &a,
 		}
+		if change == target.Joined && a.Zone != c.self.Zone {
+			item.ticks = c.farTicks(true)
+		}
 		if c.quiet && a.Zone != c.self.Zone {
 			item.ticks = 0
 		}
@@ -122,15 +135,21 @@
 	items := c.sortedNews()
 	peers := c.shuffled(c.zonePeers())
 	peers = peers[:min(fanout, len(peers))]
-	near := pack(now, items, func(i *newsItem) *int { return &i.ticks })
-	for _, e := range peers {
-		c.sendPages(e.GossipAddress, near)
+	if len(peers) > 0 {
+		near := pack(now, items, func(i *newsItem) *int { return &i.ticks })
+		for _, e := range peers {
+			c.sendPages(e.GossipAddress, near)
+		}
 	}
 	if c.isDelegate() {
 		far := pack(now, items, func(i *newsItem) *int { return &i.cross })
 		c.toOtherZones(func(e *entry) { c.sendPages(e.GossipAddress, far) })
 	}
 	for _, i := range items {
+		if len(peers) == 0 && i.key != "m/"+c.self.VM {
+			// There is nobody to tell; peers that come later ask for the state.
+			i.ticks = 0
+		}
 		if i.ticks <= 0 && (i.cross <= 0 || !c.isDelegate()) {
 			delete(c.news, i.key)
 		}
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -1,9 +1,6 @@
 package membership
 
-import (
-	"sort"
-	"time"
-)
+import "time"
 
 // probeState is the probe in progress.
 type probeState struct {
@@ -134,6 +131,11 @@
 			}
 		}
 	}
+	for address, next := range c.nextSync {
+		if now.After(next) {
+			delete(c.nextSync, address)
+		}
+	}
 	for sequence, r := range c.relays {
 		if now.After(r.expires) {
 			delete(c.relays, sequence)
@@ -148,34 +150,28 @@
 		return
 	}
 	c.nextRevive = now.Add(reviveInterval)
-	var dead []*entry
-	for _, e := range c.members {
-		if e.Status == Dead && (e.Zone == c.self.Zone || c.isDelegate()) {
-			dead = append(dead, e)
-		}
-	}
-	sort.Slice(dead, func(i, j int) bool { return dead[i].VM < dead[j].VM })
+	delegate := c.isDelegate()
+	dead := c.sorted(func(e *entry) bool { return e.Status == Dead && (e.Zone == c.self.Zone || delegate) })
 	if len(dead) > 0 {
 		e := dead[c.rand.IntN(len(dead))]
 		c.sequence++
 		c.send(e.GossipAddress, c.probeMessage(e, c.sequence))
 	}
-	if address, ok := c.unknownJoin(); ok {
-		c.requestSync(now, address, nil, true)
-	}
+	c.askJoinAddresses(now)
 }
 
-func (c *Core) unknownJoin() (string, bool) {
-	var unknown []string
-	for _, address := range c.join {
-		if address != c.self.GossipAddress && !c.liveAt(address) {
-			unknown = append(unknown, address)
+// askJoinAddresses asks the join addresses that no live member has for their
+// state. Asking only one would let VMs that start together form islands.
+func (c *Core) askJoinAddresses(now time.Time) {
+	asked := 0
+	for _, i := range c.rand.Perm(len(c.join)) {
+		address := c.join[i]
+		if address == c.self.GossipAddress || c.liveAt(address) || asked == maxJoinRequests {
+			continue
 		}
+		asked++
+		c.requestSync(now, address, nil, true)
 	}
-	if len(unknown) == 0 {
-		return "", false
-	}
-	return unknown[c.rand.IntN(len(unknown))], true
 }
 
 func (c *Core) liveAt(address string) bool {
@@ -187,14 +183,13 @@
 	return false
 }
 
-// tickJoin asks a join address for the state while this VM knows nobody.
+// tickJoin asks the join addresses for the state while this VM knows nobody,
+// and for a while after its start.
 func (c *Core) tickJoin(now time.Time) {
-	if len(c.members) > 1 || now.Before(c.nextJoin) {
+	alone := len(c.members) == 1
+	if now.Before(c.nextJoin) || !alone && now.Sub(c.started) > joinPeriod {
 		return
 	}
 	c.nextJoin = now.Add(joinInterval)
-	if address, ok := c.unknownJoin(); ok {
-		c.nextSync = time.Time{}
-		c.requestSync(now, address, nil, true)
-	}
+	c.askJoinAddresses(now)
 }
--- a/internal/membership/zones.go
+++ b/internal/membership/zones.go
@@ -11,13 +11,15 @@
 	heard time.Time
 	// passedOn is when a digest was last queued for the zone peers.
 	passedOn time.Time
-	// numbers holds the newest digest of each VM that made one.
-	numbers map[string]digestNumber
-	// differsSince is when the state here began to differ from the digests.
-	differsSince time.Time
+	// makers holds the newest digest of each VM that made one.
+	makers map[string]digestMaker
 }
 
-type digestNumber struct{ incarnation, number uint64 }
+type digestMaker struct {
+	incarnation, number uint64
+	// differsSince is when the state here began to differ from its digests.
+	differsSince time.Time
+}
 
 // passOnInterval bounds how often digests of one zone are passed on. Both
 // delegates of a zone make digests; passing on each would double the bytes.
@@ -26,7 +28,7 @@
 func (c *Core) zone(name string) *zoneState {
 	z, ok := c.zones[name]
 	if !ok {
-		z = &zoneState{numbers: make(map[string]digestNumber)}
+		z = &zoneState{makers: make(map[string]digestMaker)}
 		c.zones[name] = z
 	}
 	return z
@@ -96,27 +98,23 @@
 		if c.reachable(zone, now) {
 			continue
 		}
-		var all []*entry
-		for _, e := range c.members {
-			if e.Zone == zone && e.Status != Left {
-				all = append(all, e)
-			}
-		}
+		all := c.sorted(func(e *entry) bool { return e.Zone == zone && e.Status != Left })
 		if len(all) == 0 {
 			continue
 		}
-		sort.Slice(all, func(i, j int) bool { return all[i].VM < all[j].VM })
 		c.send(all[c.rand.IntN(len(all))].GossipAddress, probe)
 	}
 }
 
 func (c *Core) mergeDigest(now time.Time, from string, d Digest) {
+	if d.VM == c.self.VM {
+		return
+	}
 	z := c.zone(d.Zone)
-	last := z.numbers[d.VM]
+	last := z.makers[d.VM]
 	if d.Incarnation < last.incarnation || d.Incarnation == last.incarnation && d.Number <= last.number {
 		return
 	}
-	z.numbers[d.VM] = digestNumber{d.Incarnation, d.Number}
 	z.heard = now
 	d.Targets.Age += hopAllowance
 	same := c.membersHash(d.Zone) == d.MembersHash
@@ -125,7 +123,7 @@
 	} else {
 		same = c.registry.ApplySummary(d.Zone, d.Targets, now) && same
 	}
-	c.compare(now, from, d.Zone, same)
+	c.compare(now, from, &d, same)
 	if now.Sub(z.passedOn) >= passOnInterval {
 		z.passedOn = now
 		c.spreadDigest(d, now.Add(-d.Targets.Age))
@@ -134,16 +132,19 @@
 
 // compare asks for the state of a zone if it differs for longer than news
 // takes to arrive.
-func (c *Core) compare(now time.Time, from, zone string, same bool) {
-	z := c.zone(zone)
-	if same {
-		z.differsSince = time.Time{}
-		return
-	}
-	if z.differsSince.IsZero() {
-		z.differsSince = now
+func (c *Core) compare(now time.Time, from string, d *Digest, same bool) {
+	z := c.zone(d.Zone)
+	maker := digestMaker{incarnation: d.Incarnation, number: d.Number}
+	if !same {
+		maker.differsSince = z.makers[d.VM].differsSince
+		if maker.differsSince.IsZero() {
+			maker.differsSince = now
+		}
 	}
-	if now.Sub(z.differsSince) >= mismatchGrace {
-		c.requestSync(now, from, []string{zone}, zone == c.self.Zone)
+	z.makers[d.VM] = maker
+	if !same && now.Sub(maker.differsSince) >= mismatchGrace {
+		// The other side may be the one that lacks members, also of its own
+		// zone: a VM that joined through another zone and lost the answer.
+		c.requestSync(now, from, []string{d.Zone}, true)
 	}
 }
--- a/internal/target/drain.go
+++ b/internal/target/drain.go
@@ -26,6 +26,9 @@
 func (r *Registry) Drain(id string, drained bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if old, known := r.drained[id]; known && old.Drained == drained {
+		return
+	}
 	d := Drain{ID: id, Version: r.drained[id].Version + 1, Drained: drained}
 	r.setDrain(d)
 	r.ownDrains = append(r.ownDrains, d)
