Bill requests through the control log

Usage records were discarded. Each VM now adds them up per workspace, model and hour and sends the sums as numbered batches every 0.5 s; the state machine counts a batch of (VM, incarnation) only if its number is higher than the last. One batch is in flight at a time and is resent unchanged until acknowledged, so a lost answer neither loses nor doubles it. While the log is out of reach at most 20,000 sums are held; later hours are then added to the last hour held. A graceful shutdown flushes. cuminwing report usage shows the totals; its query goes through the log and therefore sees every earlier batch.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -56,6 +56,7 @@
 	addKeys(r)
 	addStatus(r)
 	addTargets(r)
+	addReportUsage(r)
 	addDemo(r)
 	name, exit, err := parse(app, args)
 	if exit >= 0 {
--- /dev/null
+++ b/internal/daemon/membership_test.go
@@ -0,0 +1,47 @@
+package daemon
+
+import (
+	"context"
+	"testing"
+
+	usagev1 "github.com/cuminwing/cuminwing/proto/usage/v1"
+)
+
+// Guards against VMs that do not find each other over real sockets, targets
+// known only where they announce themselves, a shutdown that others find out
+// by time-out, and usage that a shutdown loses.
+func TestVMsShareMembersTargetsAndUsage(t *testing.T) {
+	vms := startVMs(t, yardsDocument(), "muc-a", "muc-a", "muc-b")
+	for _, vm := range vms {
+		await(t, "members at "+vm.settings.VM, func() bool { return len(vm.members()) == len(vms) })
+	}
+	startEngine(t, "engine-1", false, vms[0])
+	awaitTarget(t, vms[1], "engine-1")
+	awaitTarget(t, vms[2], "engine-1")
+
+	await(t, "answer", func() bool { return ask(t, vms[0], "grade it", 20, nil).whole() })
+	billed := func() (tokens uint64) {
+		totals, err := usageServer{vms[2].Node}.Report(t.Context(), &usagev1.Query{Workspace: "yards"})
+		if err != nil {
+			return 0
+		}
+		for _, total := range totals.GetTotals() {
+			tokens += total.GetCompletionTokens()
+		}
+		return tokens
+	}
+
+	vms[1].registry.Drain("engine-1", true)
+	await(t, "drain at the other zone", func() bool {
+		e, ok := vms[2].registry.Get("engine-1")
+		return ok && e.Draining
+	})
+
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	if err := vms[0].Shutdown(ctx); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "end of vm-1", func() bool { return len(vms[1].members()) == 2 && len(vms[2].members()) == 2 })
+	await(t, "bill of the answer", func() bool { return billed() == 20 })
+}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -26,6 +26,7 @@
 	"github.com/cuminwing/cuminwing/internal/serving"
 	"github.com/cuminwing/cuminwing/internal/settings"
 	"github.com/cuminwing/cuminwing/internal/target"
+	"github.com/cuminwing/cuminwing/internal/usage"
 )
 
 // Options are what a test replaces.
@@ -57,6 +58,7 @@
 	withdrawn *keys.Withdrawn
 	registry  *target.Registry
 	gossip    *gossip.Conn
+	ledger    *usage.Ledger
 	callers   *callerhttp.Server
 
 	distribution *distribution
@@ -95,8 +97,10 @@
 		n.startTargets,
 		n.startRates,
 		n.startObserver,
+		n.startUsage,
 		n.startServing,
 		n.startControl,
+		n.startUsageFlush,
 		n.startStatus,
 		n.startAdmin,
 		n.startPeers,
@@ -230,6 +234,7 @@
 	n.logger.Info("VM is shutting down", zap.Int64("running_requests", n.callers.Active()))
 	n.leaveMembership()
 	err := n.waitIdle(ctx)
+	n.flushLastUsage()
 	n.leaveControl()
 	n.Close()
 	return err
--- a/internal/daemon/serving.go
+++ b/internal/daemon/serving.go
@@ -27,7 +27,7 @@
 		Retries:  retry.NewBudgets(),
 		Engines:  targethttp.NewEngines(n.options.Dial),
 		Services: targethttp.NewServices(n.options.Dial),
-		Ledger:   discardLedger{},
+		Ledger:   n.ledger,
 		Observer: n.observer,
 	}
 	n.callers = &callerhttp.Server{
--- /dev/null
+++ b/internal/usage/usage_test.go
@@ -0,0 +1,181 @@
+package usage
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/cuminwing/cuminwing/internal/control"
+	"github.com/cuminwing/cuminwing/internal/serving"
+	usagev1 "github.com/cuminwing/cuminwing/proto/usage/v1"
+)
+
+// stubLog applies commands to one part. Fault decides the fate of the next
+// command.
+type stubLog struct {
+	control.Log
+	part  *Part
+	now   time.Time
+	fault func() (lost, unanswered bool)
+	// late holds committed bodies that may be applied once more, as after a
+	// resend that overtook its predecessor.
+	late [][]byte
+}
+
+func (l *stubLog) Propose(_ context.Context, _ control.Kind, body []byte) ([]byte, error) {
+	lost, unanswered := l.fault()
+	if lost {
+		return nil, control.ErrNotCommitted
+	}
+	l.late = append(l.late, body)
+	answer := l.part.Apply(1, l.now, body)
+	if unanswered {
+		return nil, control.ErrUncertain
+	}
+	return answer, nil
+}
+
+func (l *stubLog) total() sums {
+	var all sums
+	for _, s := range l.part.totals {
+		all.add(*s)
+	}
+	return all
+}
+
+// Guards against usage that is counted twice or lost when batches or answers
+// are lost, resent, repeated late, or the state moves through a snapshot.
+func TestUsageCountsExactlyOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		log := &stubLog{part: NewPart(), now: time.Unix(1_700_000_000, 0)}
+		clock := func() time.Time { return log.now }
+		ledgers := []*Ledger{NewLedger("vm-1", 1, clock), NewLedger("vm-2", 1, clock)}
+		log.fault = func() (bool, bool) {
+			f := rapid.IntRange(0, 3).Draw(rt, "fault")
+			return f == 1, f == 2
+		}
+		var want sums
+		for range rapid.IntRange(1, 30).Draw(rt, "steps") {
+			l := ledgers[rapid.IntRange(0, 1).Draw(rt, "ledger")]
+			switch rapid.IntRange(0, 4).Draw(rt, "step") {
+			case 0, 1:
+				l.Record(serving.UsageRecord{Workspace: "yards", Model: "m", PromptTokens: 3, CompletionTokens: 2})
+				want.add(sums{1, 3, 2, 0})
+			case 2:
+				_ = l.Flush(context.Background(), log)
+			case 3:
+				if n := len(log.late); n > 0 {
+					log.part.Apply(1, log.now, log.late[rapid.IntRange(0, n-1).Draw(rt, "repeat")])
+				}
+			case 4:
+				restart(rt, log)
+				log.now = log.now.Add(20 * time.Minute)
+			}
+		}
+		log.fault = func() (bool, bool) { return false, false }
+		for _, l := range ledgers {
+			if err := l.Flush(context.Background(), log); err != nil {
+				rt.Fatal(err)
+			}
+		}
+		if got := log.total(); got != want {
+			rt.Fatalf("counted %+v, want %+v", got, want)
+		}
+	})
+}
+
+func restart(rt *rapid.T, log *stubLog) {
+	data, err := log.part.Snapshot()
+	if err != nil {
+		rt.Fatal(err)
+	}
+	log.part = NewPart()
+	if err := log.part.Restore(data); err != nil {
+		rt.Fatal(err)
+	}
+}
+
+// Guards against memory that grows, or usage that is dropped, while the log is
+// out of reach for many hours.
+func TestMemoryIsBoundedWithoutLog(t *testing.T) {
+	log := &stubLog{part: NewPart(), now: time.Unix(1_700_000_000, 0)}
+	l := NewLedger("vm-1", 1, func() time.Time { return log.now })
+	var want sums
+	for hour := range 100 {
+		log.now = time.Unix(1_700_000_000+int64(hour)*3600, 0)
+		for w := range 1000 {
+			l.Record(serving.UsageRecord{Workspace: fmt.Sprint(w), Model: "m", CompletionTokens: 1})
+			want.add(sums{1, 0, 1, 0})
+		}
+	}
+	if n := len(l.pending); n > maxPendingTotals {
+		t.Fatalf("%d totals pending", n)
+	}
+	log.fault = func() (bool, bool) { return false, false }
+	if err := l.Flush(context.Background(), log); err != nil {
+		t.Fatal(err)
+	}
+	if got := log.total(); got != want {
+		t.Fatalf("counted %+v, want %+v", got, want)
+	}
+}
+
+// Guards against totals that change when old hours are merged into days, and
+// against a state that grows for ever.
+func TestOldHoursBecomeDays(t *testing.T) {
+	p := NewPart()
+	start := time.Unix(1_700_000_000, 0)
+	for hour := range 200 {
+		now := start.Add(time.Duration(hour) * time.Hour)
+		total := toTotal(key{"w", "m", now.Unix() / secondsPerHour, 1}, sums{1, 1, 1, 1})
+		p.count(now, &usagev1.Batch{Vm: "vm-1", Incarnation: 1, Sequence: uint64(hour + 1), Totals: []*usagev1.Total{total}})
+		p.compact(now)
+	}
+	var got usagev1.Totals
+	if err := proto.Unmarshal(p.query(&usagev1.Query{Workspace: "w"}), &got); err != nil {
+		t.Fatal(err)
+	}
+	var requests uint64
+	for _, total := range got.GetTotals() {
+		requests += total.GetRequests()
+	}
+	if requests != 200 || len(got.GetTotals()) > keepHours+10 {
+		t.Fatalf("%d requests in %d totals, want 200 requests", requests, len(got.GetTotals()))
+	}
+	p.compact(start.Add(100 * 24 * time.Hour))
+	if len(p.totals) != 0 || len(p.senders) != 0 {
+		t.Fatalf("%d totals and %d senders are left after 100 days", len(p.totals), len(p.senders))
+	}
+}
+
+// Bills one batch of 1,000 totals.
+func BenchmarkApplyBatch(b *testing.B) {
+	p := NewPart()
+	batch := &usagev1.Batch{Vm: "vm-1", Incarnation: 1}
+	for w := range maxBatchTotals {
+		batch.Totals = append(batch.Totals, toTotal(key{fmt.Sprint("workspace-", w), "gutachter", 472222, 1}, sums{5, 20000, 900, 3}))
+	}
+	now := time.Unix(1_700_000_000, 0)
+	for b.Loop() {
+		batch.Sequence++
+		body, err := proto.Marshal(&usagev1.Command{Kind: &usagev1.Command_Batch{Batch: batch}})
+		if err != nil {
+			b.Fatal(err)
+		}
+		p.Apply(1, now, body)
+		b.ReportMetric(float64(len(body)), "B/batch")
+	}
+}
+
+// Records one request on the path of serving.
+func BenchmarkRecord(b *testing.B) {
+	l := NewLedger("vm-1", 1, time.Now)
+	b.ReportAllocs()
+	for b.Loop() {
+		l.Record(serving.UsageRecord{Workspace: "yards", Model: "gutachter", PromptTokens: 20000, CompletionTokens: 300})
+	}
+}
