--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -19,20 +19,20 @@
 )
 
 const (
-	yardsKey   = "cw-test-key-of-the-yards-0123456789abcdef"
-	yardsModel = "gutachter"
+	testKey   = "cw-test-key-of-the-yards-0123456789abcdef"
+	testModel = "gutachter"
 )
 
 // patience bounds waits that succeed long before on a machine of any speed.
 const patience = 20 * time.Second
 
-func yardsDocument() config.Document {
+func testDocument() config.Document {
 	return config.Document{
-		Models:     map[string]config.Model{yardsModel: {ServingVersion: "v1"}},
-		Workspaces: map[string]config.Workspace{"yards": {Keys: []config.Key{{ID: "k", SHA256: keys.Sum(yardsKey).String()}}}},
+		Models:     map[string]config.Model{testModel: {ServingVersion: "v1"}},
+		Workspaces: map[string]config.Workspace{"yards": {Keys: []config.Key{{ID: "k", SHA256: keys.Sum(testKey).String()}}}},
 		Rates:      map[string]config.Rate{"yards": {RateTokensPerSecond: 1e6, BurstTokens: 1e6, MaxWaitMS: 10000}},
 		Routes: map[string]config.Route{
-			"grade":  {Kind: config.KindModel, Model: yardsModel, MaxAttempts: 6, FirstTokenTimeoutMS: 2000, TokenGapTimeoutMS: 1000, TimeoutMS: 60000},
+			"grade":  {Kind: config.KindModel, Model: testModel, MaxAttempts: 6, FirstTokenTimeoutMS: 2000, TokenGapTimeoutMS: 1000, TimeoutMS: 60000},
 			"stock":  {Kind: config.KindService, Service: "stock", PathPrefix: "/stock", MaxAttempts: 3, FirstTokenTimeoutMS: 2000},
 			"orders": {Kind: config.KindService, Service: "orders", PathPrefix: "/orders", Run: config.RunAtMostOnce},
 			"open":   {Kind: config.KindService, Service: "stock", PathPrefix: "/open", Access: config.AccessOpen},
@@ -83,7 +83,7 @@
 func startEngine(t testing.TB, id string, http2 bool, vms ...*testVM) *standin.Engine {
 	t.Helper()
 	e, err := standin.StartEngine("127.0.0.1:0", standin.EngineOptions{
-		ID: id, Zone: "muc-a", Region: "oberbayern", Model: yardsModel, Version: "v1",
+		ID: id, Zone: "muc-a", Region: "oberbayern", Model: testModel, Version: "v1",
 		TokenInterval: time.Millisecond, BatchSlots: 8, HTTP2: http2, Announce: announceTo(vms),
 	})
 	if err != nil {
@@ -134,7 +134,7 @@
 func (a answer) whole() bool { return a.status == http.StatusOK && a.done == 1 && a.failed == "" }
 
 func chatBody(prompt string, tokens int, stream bool) string {
-	return fmt.Sprintf(`{"model":%q,"stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, yardsModel, stream, tokens, prompt)
+	return fmt.Sprintf(`{"model":%q,"stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, testModel, stream, tokens, prompt)
 }
 
 func send(ctx context.Context, method, url, key, body string, header ...string) (*http.Response, error) {
@@ -154,7 +154,7 @@
 // ask streams one answer. Each is called per event and may be nil.
 func ask(t testing.TB, vm *testVM, prompt string, tokens int, each func(n int)) answer {
 	t.Helper()
-	resp, err := send(t.Context(), http.MethodPost, vm.base+"/v1/chat/completions", yardsKey, chatBody(prompt, tokens, true))
+	resp, err := send(t.Context(), http.MethodPost, vm.base+"/v1/chat/completions", testKey, chatBody(prompt, tokens, true))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/daemon/picker.go
+++ b/internal/daemon/picker.go
@@ -36,12 +36,12 @@
 		return nil, refusal
 	}
 	p.health.Begin(pick.Target)
-	counted := *pick
-	counted.Done = func(result serving.AttemptResult) {
+	wrapped := *pick
+	wrapped.Done = func(result serving.AttemptResult) {
 		p.health.End(pick.Target, result)
 		pick.Done(result)
 	}
-	return &counted, nil
+	return &wrapped, nil
 }
 
 // startClaims adds the records of at-most-once requests to the replicated
--- a/internal/daemon/serving.go
+++ b/internal/daemon/serving.go
@@ -16,14 +16,14 @@
 // startServing builds the request path.
 func (n *Node) startServing() error {
 	health := retry.NewHealth(n.clock)
-	picker := n.newPicker()
-	picker.Health = health
+	engines := n.newPicker()
+	engines.Health = health
 	service := &serving.Service{
 		Clock:    n.clock,
 		Limiter:  n.rates,
 		Queue:    n.newQueue(),
 		Claims:   n.startClaims(),
-		Picker:   n.newTargetPicker(picker, health),
+		Picker:   n.newTargetPicker(engines, health),
 		Retries:  retry.NewBudgets(),
 		Engines:  targethttp.NewEngines(n.options.Dial),
 		Services: targethttp.NewServices(n.options.Dial),
