--- a/internal/prefix/match.go
+++ b/internal/prefix/match.go
@@ -71,6 +71,7 @@
 		return
 	}
 	running := x.certain()
+	words := x.usedWords()
 	var holders slotSet
 	for i, h := range chain {
 		at, ok := x.table.find(h)
@@ -82,7 +83,7 @@
 		if i == 0 {
 			running.intersect(&holders)
 		} else {
-			m.narrow(&running, &holders, i)
+			m.narrow(running[:words], holders[:words], i)
 		}
 		if running == (slotSet{}) {
 			return
@@ -106,6 +107,16 @@
 	return set
 }
 
+// usedWords returns the length of a slotSet up to the last live slot; slots
+// are given out from the lowest on.
+func (x *Index) usedWords() int {
+	n := slotWords
+	for n > 0 && x.live[n-1] == 0 {
+		n--
+	}
+	return n
+}
+
 func (s *slotSet) intersect(other *slotSet) {
 	for w := range s {
 		s[w] &= other[w]
@@ -113,8 +124,11 @@
 }
 
 // narrow records i blocks for the slots that hold no more than that.
-func (m *Match) narrow(running, holders *slotSet, i int) {
+func (m *Match) narrow(running, holders []uint64, i int) {
 	for w := range running {
+		if running[w]&^holders[w] == 0 {
+			continue
+		}
 		for gone := running[w] &^ holders[w]; gone != 0; gone &= gone - 1 {
 			m.Blocks[w*64+bits.TrailingZeros64(gone)] = uint16(i)
 		}
--- a/internal/routing/picker_test.go
+++ b/internal/routing/picker_test.go
@@ -218,6 +218,30 @@
 	}
 }
 
+// Guards against imports that take longer than the prefill or come from
+// another region.
+func TestImportsWhereItPays(t *testing.T) {
+	for _, test := range []struct {
+		name          string
+		bytesPerToken int
+		region        string
+		imports       bool
+	}{{"fast", 16 << 10, "r", true}, {"slow", 128 << 10, "r", false}, {"far", 16 << 10, "s", false}} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t)
+			b.snap = config.NewSnapshot(config.Document{Models: map[string]config.Model{"m": {ServingVersion: "v1", KVBytesPerToken: test.bytesPerToken}}}, 1)
+			b.announce(target.Announcement{ID: "e0", BatchSlots: 64, Capabilities: target.Capabilities{KV: true}})
+			store := target.Announcement{ID: "kv", Incarnation: 1, Sequence: 1, Kind: target.KindKVStore, Zone: "a", Region: test.region, URL: "http://store"}
+			b.Registry.Announce(store, b.now)
+			chain := chainOf(1, 10)
+			b.Index.Predict(target.Ref{ID: "kv", Incarnation: 1}, chain[:8], 0)
+			if pick := b.mustPick(chain); (pick.Prefix.KVSource == "http://store") != test.imports {
+				t.Errorf("import from %q, want %v", pick.Prefix.KVSource, test.imports)
+			}
+		})
+	}
+}
+
 type health map[string]time.Duration
 
 func (h health) Usable(ref target.Ref) bool           { return h[ref.ID] >= 0 }
