Share the load of targets with the other zones of a region

Cause: heartbeats stay inside a zone; other zones learn only that a target is live. A VM therefore kept the last load report of a target in another zone for good, for example as full batch slots.

Change: the reader of a target also reads GET /v1/load each second and tells the VMs of other zones of the region, within the same 15 KB/s. A report counts the requests of other VMs for 3 s only. VMs that membership suspects stay owners, because it lists them as live and each change restarts all streams.

Conclusion: both zones of a region now work from reports of the same age.

--- a/internal/adapter/targethttp/cache.go
+++ b/internal/adapter/targethttp/cache.go
@@ -11,6 +11,7 @@
 
 	"github.com/cuminwing/cuminwing/internal/prefix"
 	"github.com/cuminwing/cuminwing/internal/serving"
+	"github.com/cuminwing/cuminwing/internal/target"
 )
 
 // Headers that name the cached blocks of a prompt. The engine uses these names
@@ -66,34 +67,45 @@
 	maxCacheAnswerBytes = 64 << 20
 )
 
-// CacheReader reads the cache events of targets.
+// CacheReader reads the cache events and the load of targets.
 type CacheReader struct{ client *http.Client }
 
 // NewCacheReader returns a reader that connects through dial.
 func NewCacheReader(dial Dialer) *CacheReader {
-	transport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout}
+	transport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: idleConnTimeout}
 	return &CacheReader{client: &http.Client{Transport: transport, Timeout: cacheTimeout}}
 }
 
 // Events returns the events after a number.
 func (c *CacheReader) Events(ctx context.Context, base string, after uint64) (CacheEvents, error) {
 	var answer CacheEvents
-	url := base + CacheEventsPath + "?after=" + strconv.FormatUint(after, 10)
+	err := c.get(ctx, base+CacheEventsPath+"?after="+strconv.FormatUint(after, 10), &answer)
+	return answer, err
+}
+
+// Load returns the load of a target.
+func (c *CacheReader) Load(ctx context.Context, base string) (target.Load, error) {
+	var answer target.Load
+	err := c.get(ctx, base+LoadPath, &answer)
+	return answer, err
+}
+
+func (c *CacheReader) get(ctx context.Context, url string, answer any) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return answer, err
+		return err
 	}
 	resp, err := c.client.Do(req)
 	if err != nil {
-		return answer, err
+		return err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return answer, statusError(resp)
+		return statusError(resp)
 	}
 	body := http.MaxBytesReader(nil, resp.Body, maxCacheAnswerBytes)
-	if err := json.NewDecoder(body).Decode(&answer); err != nil {
-		return answer, fmt.Errorf("decode cache events: %w", err)
+	if err := json.NewDecoder(body).Decode(answer); err != nil {
+		return fmt.Errorf("decode answer of %s: %w", url, err)
 	}
-	return answer, nil
+	return nil
 }
--- a/internal/daemon/cachereader.go
+++ b/internal/daemon/cachereader.go
@@ -21,6 +21,8 @@
 	eventPause = 20 * time.Millisecond
 	// eventRetry is the pause after an error.
 	eventRetry = 200 * time.Millisecond
+	// loadInterval is how often the load is read, as often as heartbeats come.
+	loadInterval = target.HeartbeatInterval
 )
 
 // cacheReader reads the event stream of one incarnation and forwards it to
@@ -39,9 +41,20 @@
 	ctx, cancel := context.WithCancel(ctx)
 	reader := &cacheReader{duty: r, ref: t.Ref(), url: t.URL, cancel: cancel}
 	r.done.Go(func() { reader.run(ctx) })
+	r.done.Go(func() { every(ctx, loadInterval, func() { reader.readLoad(ctx) }) })
 	return reader
 }
 
+// readLoad shares the load with the other zones of the region.
+func (c *cacheReader) readLoad(ctx context.Context) {
+	if !c.duty.otherZones() {
+		return
+	}
+	if l, err := c.duty.cache.Load(ctx, c.url); err == nil {
+		c.duty.shareLoad(c.ref, l)
+	}
+}
+
 func (c *cacheReader) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		answer, err := c.duty.cache.Events(ctx, c.url, c.after)
--- a/internal/daemon/indexrpc.go
+++ b/internal/daemon/indexrpc.go
@@ -23,11 +23,11 @@
 	peerPause = 500 * time.Millisecond
 	// publishTimeout bounds a publication; a lost one leads to a resync.
 	publishTimeout = time.Second
-	// dispatchTimeout bounds a publication of dispatches, which are of no use
-	// later.
-	dispatchTimeout = 200 * time.Millisecond
-	// maxDispatchBatch bounds one publication of dispatches.
-	maxDispatchBatch = 64
+	// newsTimeout bounds a publication of dispatches and loads, which are of
+	// no use later.
+	newsTimeout = 200 * time.Millisecond
+	// maxNewsBatch bounds one publication of them.
+	maxNewsBatch = 64
 )
 
 // indexPeer is another VM that owns chains.
@@ -37,9 +37,16 @@
 	client      indexv1.IndexService
 	// silent is when the peer may be asked again, in nanoseconds since 1970.
 	silent atomic.Int64
-	// dispatches wait to be sent.
-	dispatches *ring.Ring[*indexv1.Dispatch]
-	cancel     context.CancelFunc
+	zone   string
+	// waiting is what has to be sent.
+	waiting *ring.Ring[news]
+	cancel  context.CancelFunc
+}
+
+// news is a dispatch or a load report.
+type news struct {
+	dispatch *indexv1.Dispatch
+	load     *indexv1.LoadReport
 }
 
 // peer keeps the former connection state of an unchanged member.
@@ -52,35 +59,45 @@
 		incarnation: m.Incarnation,
 		address:     m.PeerAddress,
 		client:      indexv1.NewIndexServiceProtobufClient(r.node.peerURL(m.PeerAddress), r.node.peerClient),
-		dispatches:  ring.New[*indexv1.Dispatch](maxDispatches),
+		zone:        m.Zone,
+		waiting:     ring.New[news](maxWaitingNews),
 		cancel:      cancel,
 	}
-	r.done.Go(func() { p.sendDispatches(ctx) })
+	r.done.Go(func() { p.sendNews(ctx) })
 	return p
 }
 
-// sendDispatches sends what is waiting in one message.
-func (p *indexPeer) sendDispatches(ctx context.Context) {
+// sendNews sends what is waiting in one message.
+func (p *indexPeer) sendNews(ctx context.Context) {
 	for {
-		d, ok := p.dispatches.Pop(ctx)
+		first, ok := p.waiting.Pop(ctx)
 		if !ok {
 			return
 		}
 		req := &indexv1.PublishRequest{}
-		for n := 0; ok && n < maxDispatchBatch; n++ {
-			req.Dispatches = append(req.Dispatches, d)
-			d, ok = p.dispatches.TryPop()
-		}
-		if ok {
-			// The batch is full; the last one goes with the next batch.
-			p.dispatches.Push(d)
+		first.addTo(req)
+		for range maxNewsBatch - 1 {
+			more, ok := p.waiting.TryPop()
+			if !ok {
+				break
+			}
+			more.addTo(req)
 		}
-		sendCtx, cancel := context.WithTimeout(ctx, dispatchTimeout)
+		sendCtx, cancel := context.WithTimeout(ctx, newsTimeout)
 		_, _ = p.client.Publish(sendCtx, req)
 		cancel()
 	}
 }
 
+func (n news) addTo(req *indexv1.PublishRequest) {
+	if n.dispatch != nil {
+		req.Dispatches = append(req.Dispatches, n.dispatch)
+	}
+	if n.load != nil {
+		req.Loads = append(req.Loads, n.load)
+	}
+}
+
 // Lookup implements routing.Lookup.
 func (r *routingDuty) Lookup(ctx context.Context, chain []prefix.Hash) ([]prefix.Holding, bool) {
 	peers := r.peers.Load()
@@ -168,9 +185,21 @@
 			s.duty.intents.Placed(chain)
 		}
 	}
+	s.takeLoads(req.Loads)
 	return answer, nil
 }
 
+func (s indexServer) takeLoads(loads []*indexv1.LoadReport) {
+	snap := s.duty.node.Snapshot()
+	if snap == nil {
+		return
+	}
+	for _, l := range loads {
+		load := target.Load{Running: int(l.Running), Waiting: int(l.Waiting), QueuedPrefillTokens: int(l.QueuedPrefillTokens)}
+		s.duty.picker.Report(fromTarget(l.Target), load, snap)
+	}
+}
+
 // Lookup implements indexv1.IndexService.
 func (s indexServer) Lookup(ctx context.Context, req *indexv1.LookupRequest) (*indexv1.LookupResponse, error) {
 	answer := &indexv1.LookupResponse{}
--- a/internal/daemon/routing.go
+++ b/internal/daemon/routing.go
@@ -20,15 +20,15 @@
 	// routingInterval is how often duties are divided anew and expired
 	// entries removed.
 	routingInterval = 200 * time.Millisecond
-	// maxDispatches bounds the dispatches that wait for one peer; more are
-	// dropped, because load reports and cache events follow.
-	maxDispatches = 256
-	// dispatchBytes is about the size of one publication of dispatches with
-	// its HTTP headers. Telling all peers stops at dispatchBytesPerSecond,
-	// which is two thirds of the control cost per VM at the design size; the
-	// owner of the chain is always told.
-	dispatchBytes          = 400
-	dispatchBytesPerSecond = 15000
+	// maxWaitingNews bounds the dispatches and load reports that wait for one
+	// peer; more are dropped, because newer reports and cache events follow.
+	maxWaitingNews = 256
+	// newsBytes is about the size of one publication with its HTTP headers.
+	// Telling all peers stops at newsBytesPerSecond, which is two thirds of
+	// the control cost per VM at the design size; the owner of the chain is
+	// always told of a dispatch.
+	newsBytes          = 400
+	newsBytesPerSecond = 15000
 )
 
 // routingDuty keeps this VM's part of the index of cached blocks.
@@ -120,7 +120,7 @@
 	clients := make(map[string]*indexPeer)
 	old := r.peers.Load()
 	for _, m := range r.members() {
-		if m.Status != membership.Alive || m.Region != r.node.settings.Region {
+		if m.Region != r.node.settings.Region {
 			continue
 		}
 		region = append(region, m.VM)
@@ -193,19 +193,46 @@
 	}
 	if peer, ok := peers.clients[owner]; ok && owner != self {
 		whole := &indexv1.Dispatch{Target: work.Target, WorkUs: work.WorkUs, Blocks: toNumbers(d.Chain), Held: uint32(d.Held)}
-		peer.dispatches.Push(whole)
+		peer.waiting.Push(news{dispatch: whole})
 	}
 	if owner == self {
 		r.intents.Placed(d.Chain)
 	}
-	if !r.affordable(len(peers.clients) - 1) {
-		return
+	r.tell(news{dispatch: work}, func(vm string, _ *indexPeer) bool { return vm != owner && vm != self })
+}
+
+// shareLoad tells the VMs of other zones, which get no heartbeats, the load of
+// a target of this zone.
+func (r *routingDuty) shareLoad(ref target.Ref, l target.Load) {
+	report := &indexv1.LoadReport{
+		Target:              toTarget(ref),
+		Running:             uint32(max(0, l.Running)),
+		Waiting:             uint32(max(0, l.Waiting)),
+		QueuedPrefillTokens: uint32(max(0, l.QueuedPrefillTokens)),
 	}
-	for vm, peer := range peers.clients {
-		if vm != owner && vm != self {
-			peer.dispatches.Push(work)
+	r.tell(news{load: report}, func(_ string, p *indexPeer) bool { return p.zone != r.node.settings.Zone })
+}
+
+// otherZones reports whether the region has VMs in other zones.
+func (r *routingDuty) otherZones() bool {
+	peers := r.peers.Load()
+	return len(peers.owners.Names()) > len(peers.readers.Names())
+}
+
+// tell queues news for the selected peers if that is affordable.
+func (r *routingDuty) tell(n news, selected func(vm string, p *indexPeer) bool) {
+	var told []*indexPeer
+	for vm, peer := range r.peers.Load().clients {
+		if selected(vm, peer) {
+			told = append(told, peer)
 		}
 	}
+	if !r.affordable(len(told)) {
+		return
+	}
+	for _, peer := range told {
+		peer.waiting.Push(n)
+	}
 }
 
 // affordable takes the cost of telling n peers from the credit.
@@ -213,10 +240,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.node.clock()
-	r.credit += dispatchBytesPerSecond * now.Sub(r.credited).Seconds()
-	r.credit = min(r.credit, dispatchBytesPerSecond)
+	r.credit += newsBytesPerSecond * now.Sub(r.credited).Seconds()
+	r.credit = min(r.credit, newsBytesPerSecond)
 	r.credited = now
-	cost := float64(n * dispatchBytes)
+	cost := float64(n * newsBytes)
 	if n < 1 || r.credit < cost {
 		return false
 	}
--- a/internal/routing/load.go
+++ b/internal/routing/load.go
@@ -24,6 +24,10 @@
 // was sent within the lag is added to the report.
 const reportLag = 200 * time.Millisecond
 
+// reportLife is how long a report says something about the requests of other
+// VMs. Reports of targets in other zones may fail to come.
+const reportLife = 3 * time.Second
+
 // dispatch is one request sent to a target.
 type dispatch struct {
 	at   instant
@@ -42,8 +46,10 @@
 	// sent is when the prefill work that is known to be sent is done. It
 	// guards against reports that are older than assumed.
 	sent instant
-	// others counts the requests of other VMs.
+	// others counts the requests of other VMs in the last report, which was
+	// heard at heard, and those that they sent since.
 	others int
+	heard  instant
 	// own counts the requests of this VM in flight.
 	own    int
 	slots  int
@@ -51,15 +57,21 @@
 	next   int
 }
 
-// report takes over a load report that is newer than the last one.
-func (l *load) report(t *target.Target, heard instant, tokensPerSecond float64) {
+// heartbeat takes over the load in a heartbeat that is newer than the last one.
+func (l *load) heartbeat(t *target.Target, heard instant, tokensPerSecond float64) {
 	if t.Sequence == l.sequence {
 		return
 	}
 	l.sequence = t.Sequence
 	l.slots = t.BatchSlots
+	l.report(t.Load, heard, tokensPerSecond)
+}
+
+// report takes over a load report.
+func (l *load) report(reported target.Load, heard instant, tokensPerSecond float64) {
+	l.heard = heard
 	made := heard - reportLag
-	queued := time.Duration(float64(t.Load.QueuedPrefillTokens) / tokensPerSecond * float64(time.Second))
+	queued := time.Duration(float64(reported.QueuedPrefillTokens) / tokensPerSecond * float64(time.Second))
 	l.reported = made + queued
 	included := l.own
 	l.others = 0
@@ -75,7 +87,7 @@
 			l.others++
 		}
 	}
-	l.others += max(0, t.Load.Running+t.Load.Waiting-max(0, included))
+	l.others += max(0, reported.Running+reported.Waiting-max(0, included))
 }
 
 // dispatched adds a request of this VM with the given prefill work.
@@ -104,6 +116,9 @@
 // prefill queue and the wait for a batch slot pass at the same time.
 func (l *load) wait(now instant, hold time.Duration) time.Duration {
 	wait := max(0, l.reported-now, l.sent-now)
+	if now-l.heard > reportLife {
+		l.others = 0
+	}
 	if l.slots > 0 {
 		if over := l.own + l.others - l.slots + 1; over > 0 {
 			wait = max(wait, hold*time.Duration(over)/time.Duration(l.slots))
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cuminwing/cuminwing/internal/config"
 	"github.com/cuminwing/cuminwing/internal/prefix"
 	"github.com/cuminwing/cuminwing/internal/serving"
 	"github.com/cuminwing/cuminwing/internal/target"
@@ -81,6 +82,17 @@
 	}
 }
 
+// Report takes over the load of a target whose heartbeats do not come to this
+// VM.
+func (p *Picker) Report(ref target.Ref, reported target.Load, snap *config.Snapshot) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t, known := p.Registry.Get(ref.ID)
+	if l, ok := p.loads[ref.ID]; ok && known && l.ref == ref {
+		l.report(reported, p.Clock().Sub(p.epoch), tokensPerSecond(snap, t.Model))
+	}
+}
+
 // maxChoices bounds how often a choice is repeated because the registry
 // changed since the view was built.
 const maxChoices = 3
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -55,7 +55,7 @@
 	v := &view{built: now, layout: p.Index.Layout(), groups: make(map[groupKey]*group)}
 	v.all = p.Registry.All()
 	for _, t := range v.all {
-		p.loadOf(t).report(t, t.LastHeard.Sub(p.epoch), tokensPerSecond(snap, t.Model))
+		p.loadOf(t).heartbeat(t, t.LastHeard.Sub(p.epoch), tokensPerSecond(snap, t.Model))
 	}
 	p.forgetGone(v)
 	p.view = v
