--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -59,7 +59,7 @@
 	addReportUsage(r)
 	addDemo(r)
 	addLoad(r)
-	addReport(r)
+	addReportBurn(r)
 	name, exit, err := parse(app, args)
 	if exit >= 0 {
 		return exit
