--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -56,7 +56,10 @@
 	addKeys(r)
 	addStatus(r)
 	addTargets(r)
+	addReportUsage(r)
 	addDemo(r)
+	addLoad(r)
+	addReportBurn(r)
 	name, exit, err := parse(app, args)
 	if exit >= 0 {
 		return exit
