--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -249,3 +249,71 @@
 	}
 	t.Cleanup(func() { _ = flag.Set(name, old) })
 }
+
+// Guards against the loss of a committed entry when one voter of three loses
+// its disk, another is down, and the third lacks the entry; and against a
+// voter that cannot be repaired afterwards.
+func TestLostDisk(t *testing.T) {
+	w := newNetwork(1, 3, 0, []float64{1})
+	for _, h := range w.hosts {
+		w.start(h)
+	}
+	w.run(3 * time.Second)
+	lead := w.anyLeader(0)
+	var others []*host
+	for _, h := range w.hosts {
+		if h != lead {
+			others = append(others, h)
+		}
+	}
+	lost, behind := others[0], others[1]
+	w.isolate(behind, 2)
+	w.propose(lead, 3)
+	w.run(simElection / 2)
+	lead.node = nil
+	lost.disk, lost.data = lost.first, nil
+	w.start(lost)
+	clear(w.blocked)
+	w.run(10 * time.Second)
+	if w.anyLeader(0) != nil {
+		t.Fatal("a voter that has lost its disk helped to elect a leader")
+	}
+	w.start(lead)
+	w.run(5 * time.Second)
+	lead = w.anyLeader(0)
+	if lead == nil {
+		t.Fatal("no leader although two voters have their disks")
+	}
+	for _, kind := range []ChangeKind{Remove, AddLearner, Promote} {
+		if _, _, err := lead.node.ProposeChange(Change{Kind: kind, ID: lost.id, Address: lost.id}); err != nil {
+			t.Fatal(err)
+		}
+		w.process(lead)
+		w.run(2 * time.Second)
+	}
+	if lost.node.formation.new || !lead.node.Members().Voter(lost.id) {
+		t.Fatal("the voter was not repaired")
+	}
+	if w.problem != "" {
+		t.Fatal(w.problem)
+	}
+}
+
+// Guards against the loss of acknowledged entries when a snapshot that an
+// append has overtaken arrives.
+func TestOvertakenSnapshot(t *testing.T) {
+	w := newNetwork(1, 3, 0, []float64{1})
+	h := w.hosts[0]
+	h.disk.New = false
+	w.start(h)
+	var entries []Entry
+	for i := uint64(1); i <= 5; i++ {
+		entries = append(entries, Entry{Index: i, Term: 1, Kind: EntryCommand})
+	}
+	h.node.Step(Message{Kind: MsgAppend, From: "n1", To: "n0", Term: 1, Entries: entries, Commit: 1})
+	meta := SnapshotMeta{Index: 3, Term: 1, Members: h.node.Members(), Size: 1}
+	h.node.Step(Message{Kind: MsgSnapshot, From: "n1", To: "n0", Term: 1, Snapshot: meta, Data: []byte{1}})
+	if last, commit := h.node.log.last(), h.node.log.commit; last != 5 || commit != 3 {
+		t.Fatalf("the log ends at %d with commit %d, want 5 and 3", last, commit)
+	}
+}
