--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cuminwing/cuminwing/internal/config"
+	"github.com/cuminwing/cuminwing/internal/daemon"
 	"github.com/cuminwing/cuminwing/internal/keys"
 	"github.com/cuminwing/cuminwing/internal/standin"
 )
@@ -42,7 +43,7 @@
 	if err != nil {
 		return err
 	}
-	fleet, err := startFleet(demoDocument(key), demoEngines())
+	fleet, err := startFleet(demoDocument(key), demoEngines(), daemon.Options{})
 	if err != nil {
 		return err
 	}
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -29,33 +29,34 @@
 }
 
 // startFleet starts one VM per slot of the document's zones, and the engines.
-func startFleet(document config.Document, engines []standin.EngineOptions) (*localFleet, error) {
+func startFleet(document config.Document, engines []standin.EngineOptions, options daemon.Options) (*localFleet, error) {
 	folder, err := os.MkdirTemp("", "cuminwing-")
 	if err != nil {
 		return nil, err
 	}
 	f := &localFleet{folder: folder}
-	if err := f.start(document, engines); err != nil {
+	if err := f.start(document, engines, options); err != nil {
 		f.close()
 		return nil, err
 	}
 	return f, nil
 }
 
-func (f *localFleet) start(document config.Document, engines []standin.EngineOptions) error {
+func (f *localFleet) start(document config.Document, engines []standin.EngineOptions, options daemon.Options) error {
+	options.Document = &document
 	if err := f.plan(document); err != nil {
 		return err
 	}
 	for _, s := range f.settings {
-		node, err := daemon.Start(s, daemon.Options{Document: &document})
+		node, err := daemon.Start(s, options)
 		if err != nil {
 			return err
 		}
 		f.nodes = append(f.nodes, node)
 	}
-	for _, options := range engines {
-		options.Announce = f.announceURLs(options.Zone)
-		engine, err := standin.StartEngine("127.0.0.1:0", options)
+	for _, e := range engines {
+		e.Announce = f.announceURLs(e.Zone)
+		engine, err := standin.StartEngine("127.0.0.1:0", e)
 		if err != nil {
 			return err
 		}
--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cuminwing/cuminwing/internal/config"
+	"github.com/cuminwing/cuminwing/internal/daemon"
 	"github.com/cuminwing/cuminwing/internal/loadgen"
 	"github.com/cuminwing/cuminwing/internal/standin"
 )
@@ -34,6 +35,8 @@
 	rate    float64
 	seed    uint64
 	kill    bool
+	// baseline routes by least outstanding requests.
+	baseline bool
 }
 
 func addLoad(r *registry) {
@@ -46,6 +49,7 @@
 	c.Flag("rate", "Model requests per second; 0 takes the profile's.").Default("0").Float64Var(&f.rate)
 	c.Flag("seed", "Seed of arrivals and prompts.").Default("1").Uint64Var(&f.seed)
 	c.Flag("kill-engine", "Kill an engine in the middle of the run.").BoolVar(&f.kill)
+	c.Flag("baseline", "Route by least outstanding requests instead of by prefix, for comparison.").BoolVar(&f.baseline)
 	r.add(c, func(out, errOut io.Writer) int {
 		m, err := runLoad(f, errOut)
 		if err != nil {
@@ -68,7 +72,7 @@
 		return nil, err
 	}
 	document := p.Document()
-	fleet, err := startFleet(document, loadEngines(&p))
+	fleet, err := startFleet(document, loadEngines(&p), daemon.Options{LeastOutstanding: f.baseline})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -42,6 +42,9 @@
 	// Document replaces the configuration in force while the control log
 	// has none.
 	Document *config.Document
+	// LeastOutstanding replaces prefix-aware routing by the baseline that it
+	// is measured against.
+	LeastOutstanding bool
 	// Log replaces the control log; it gets the replicated parts of the VM.
 	Log func(parts map[control.Kind]control.Part) control.Log
 }
--- a/internal/daemon/serving.go
+++ b/internal/daemon/serving.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -10,20 +11,19 @@
 	"github.com/cuminwing/cuminwing/internal/config"
 	"github.com/cuminwing/cuminwing/internal/keys"
 	"github.com/cuminwing/cuminwing/internal/retry"
+	"github.com/cuminwing/cuminwing/internal/routing"
 	"github.com/cuminwing/cuminwing/internal/serving"
 )
 
 // startServing builds the request path.
 func (n *Node) startServing() error {
 	health := retry.NewHealth(n.clock)
-	engines := n.newPicker()
-	engines.Health = health
 	service := &serving.Service{
 		Clock:    n.clock,
 		Limiter:  n.rates,
 		Queue:    n.newQueue(),
 		Claims:   n.startClaims(),
-		Picker:   n.newTargetPicker(engines, health),
+		Picker:   n.newTargetPicker(n.enginePicker(health), health),
 		Retries:  retry.NewBudgets(),
 		Engines:  targethttp.NewEngines(n.options.Dial),
 		Services: targethttp.NewServices(n.options.Dial),
@@ -59,6 +59,20 @@
 	return p
 }
 
+// enginePicker returns the policy that places requests on engines.
+func (n *Node) enginePicker(health routing.Health) serving.Picker {
+	picker := n.newPicker()
+	picker.Health = health
+	if !n.options.LeastOutstanding {
+		return picker
+	}
+	return &routing.LeastOutstanding{
+		Registry: n.registry,
+		Clock:    n.clock,
+		Rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+}
+
 // startCallers binds the listener for callers.
 func (n *Node) startCallers() error {
 	server := &http.Server{
--- a/internal/routing/baseline.go
+++ b/internal/routing/baseline.go
@@ -43,7 +43,11 @@
 		l.inFlight = make(map[string]int)
 	}
 	l.inFlight[best.ID]++
-	return &serving.Pick{Target: best, Done: func(serving.AttemptResult) { l.release(best.ID) }}, nil
+	return &serving.Pick{
+		Target: best,
+		Prefix: hintOf(req.Call),
+		Done:   func(serving.AttemptResult) { l.release(best.ID) },
+	}, nil
 }
 
 // NoTarget refuses a request for which no target is usable.
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -99,11 +99,17 @@
 
 // Pick implements serving.Picker.
 func (p *Picker) Pick(ctx context.Context, req serving.PickRequest) (*serving.Pick, *serving.Refusal) {
-	call := req.Call
+	hint := hintOf(req.Call)
+	return p.PickChain(ctx, req, hint)
+}
+
+// hintOf names the blocks of a prompt, so that engines and the index speak of
+// the same ones.
+func hintOf(call *serving.Call) serving.PrefixHint {
 	scope := prefix.Scope{Workspace: call.Workspace, Model: call.Model, Version: call.Version, Adapter: call.Adapter}
 	hint := serving.PrefixHint{Scope: scope.Digest()}
 	hint.Blocks = prefix.AppendChain(nil, hint.Scope, call.Prompt, call.Snapshot.Document.Models[call.Model].BlockTokens)
-	return p.PickChain(ctx, req, hint)
+	return hint
 }
 
 // PickChain chooses a target for a prompt whose chain is known.
