Answer the history from a voter; measure restart and withdrawal

A VM without a disk knows only the edits since its start, so it asks a voter for the history. New tests resend an edit after the loss of the leader that committed it, with the real log.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -39,8 +39,14 @@
 	return s.node.distribution.applyEdit(ctx, req.GetEdit())
 }
 
-// History implements adminv1.AdminService.
-func (s adminServer) History(_ context.Context, req *adminv1.HistoryRequest) (*adminv1.HistoryResponse, error) {
+// History implements adminv1.AdminService. Voters have the whole history; other
+// VMs only what they have seen, so they ask a voter first.
+func (s adminServer) History(ctx context.Context, req *adminv1.HistoryRequest) (*adminv1.HistoryResponse, error) {
+	if !s.node.followsLog() && !req.GetForwarded() {
+		if answer, ok := s.historyOfVoter(ctx, req.GetLimit()); ok {
+			return answer, nil
+		}
+	}
 	history := s.node.distribution.state.Load().History()
 	count := len(history)
 	if limit := int(req.GetLimit()); limit > 0 {
@@ -53,6 +59,22 @@
 	return &adminv1.HistoryResponse{Changes: changes}, nil
 }
 
+func (s adminServer) historyOfVoter(ctx context.Context, limit uint32) (*adminv1.HistoryResponse, bool) {
+	ctx, cancel := context.WithTimeout(ctx, hintTimeout)
+	defer cancel()
+	for _, m := range s.node.members() {
+		if !m.Voter || m.VM == s.node.settings.VM {
+			continue
+		}
+		client := adminv1.NewAdminServiceProtobufClient(s.node.peerURL(m.AdminAddress), s.node.peerClient)
+		answer, err := client.History(ctx, &adminv1.HistoryRequest{Limit: limit, Forwarded: true})
+		if err == nil {
+			return answer, true
+		}
+	}
+	return nil, false
+}
+
 // WithdrawKeys implements adminv1.AdminService.
 func (s adminServer) WithdrawKeys(ctx context.Context, req *adminv1.WithdrawKeysRequest) (*adminv1.WithdrawKeysResponse, error) {
 	hashes, err := keyset.FromBytes(req.GetHashes())
--- a/internal/daemon/examples_test.go
+++ b/internal/daemon/examples_test.go
@@ -121,6 +121,10 @@
 			}
 		}
 	}
+	history, err := adminOf(nodes[8]).History(context.Background(), &adminv1.HistoryRequest{})
+	if err != nil || len(history.GetChanges()) != 3 || history.GetChanges()[2].GetEdit().GetOperator() != "settings" {
+		t.Errorf("the VM without a disk shows the history %v, %v", history.GetChanges(), err)
+	}
 	status, err := adminOf(nodes[4]).Status(context.Background(), &adminv1.StatusRequest{})
 	if err != nil {
 		t.Fatal(err)
@@ -140,6 +144,37 @@
 	return &configv1.Edit{Id: id, Sections: []*configv1.SectionEdit{{Section: "rates", BaseRevision: base, Patch: []byte(patch)}}}
 }
 
+// Guards against an edit being executed again after the leader that committed
+// it is gone, and against a service that takes no edits then.
+func TestResendAfterLossOfLeader(t *testing.T) {
+	nodes := startExample(t, "zielnik")
+	base := awaitExample(t, nodes)
+	asked := nodes[8]
+	if asked.settings.Voter() {
+		t.Fatal("the VM that is asked must not be a voter")
+	}
+	edit := rateEdit("kept", base, 4242)
+	edit.Sections[0].Patch = []byte(`{"muzeum":{"rate_tokens_per_second":4242}}`)
+	revision := wantAccepted(t, applyEdit(t, asked, edit))
+	for _, n := range nodes {
+		if n.log.HoldsLease() {
+			n.Close()
+			break
+		}
+	}
+	var again *adminv1.ApplyConfigResponse
+	await(t, "answer from the new leader", func() bool {
+		var err error
+		again, err = adminOf(asked).ApplyConfig(context.Background(), &adminv1.ApplyConfigRequest{Edit: edit})
+		return err == nil
+	})
+	if got := wantAccepted(t, again); got != revision {
+		t.Fatalf("the resend was executed at revision %d, want the stored answer %d", got, revision)
+	}
+	edit.Id, edit.Sections[0].BaseRevision = "next", revision
+	wantAccepted(t, applyEdit(t, asked, edit))
+}
+
 // BenchmarkCommitToInForce measures the time from the proposal of an edit at a
 // VM without a disk until all nine VMs have it in force.
 func BenchmarkCommitToInForce(b *testing.B) {
@@ -161,3 +196,22 @@
 	b.ReportMetric(float64(times[len(times)/2].Microseconds())/1000, "ms-p50")
 	b.ReportMetric(float64(times[len(times)*99/100].Microseconds())/1000, "ms-p99")
 }
+
+// BenchmarkWithdrawalConfirmed measures the time from a withdrawal at a VM
+// without a disk until all nine VMs refuse the key and the log has committed it.
+func BenchmarkWithdrawalConfirmed(b *testing.B) {
+	nodes := startExample(b, "verband")
+	awaitExample(b, nodes)
+	var times []time.Duration
+	for i := 0; b.Loop(); i++ {
+		start := time.Now()
+		response := withdraw(b, nodes[8], fmt.Sprint("key-", i))
+		times = append(times, time.Since(start))
+		if !response.GetCommitted() {
+			b.Fatal("the log has not committed the withdrawal")
+		}
+	}
+	slices.Sort(times)
+	b.ReportMetric(float64(times[len(times)/2].Microseconds())/1000, "ms-p50")
+	b.ReportMetric(float64(times[len(times)*99/100].Microseconds())/1000, "ms-p99")
+}
--- /dev/null
+++ b/internal/daemon/restart_bench_test.go
@@ -0,0 +1,86 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cuminwing/cuminwing/internal/config"
+	"github.com/cuminwing/cuminwing/internal/control"
+	"github.com/cuminwing/cuminwing/internal/control/sections"
+	configv1 "github.com/cuminwing/cuminwing/proto/config/v1"
+)
+
+const (
+	designWorkspaces = 1900
+	designEdits      = 2300
+)
+
+func designDocument() config.Document {
+	d := clusterDocument("")
+	for i := range designWorkspaces {
+		name := fmt.Sprintf("workspace-%04d", i)
+		d.Workspaces[name] = config.Workspace{Keys: []config.Key{{ID: "k1", SHA256: fmt.Sprintf("%064x", i+1)}}}
+		d.Rates[name] = config.Rate{RateTokensPerSecond: 1000, BurstTokens: 5000}
+	}
+	return d
+}
+
+// commitDay commits the first document and the edits of a day.
+func commitDay(tb testing.TB, n *Node) uint64 {
+	tb.Helper()
+	edit, err := sections.FirstEdit("first", designDocument())
+	if err != nil {
+		tb.Fatal(err)
+	}
+	var base uint64
+	for i := range designEdits + 1 {
+		if i > 0 {
+			patch := fmt.Sprintf(`{"workspace-%04d":{"rate_tokens_per_second":%d}}`, i%designWorkspaces, i)
+			edit = &configv1.Edit{Id: fmt.Sprint("e", i), Sections: []*configv1.SectionEdit{
+				{Section: "rates", BaseRevision: base, Patch: []byte(patch)},
+			}}
+		}
+		body, err := marshalEdit(edit)
+		if err != nil {
+			tb.Fatal(err)
+		}
+		if _, err := n.propose(context.Background(), control.KindConfig, body); err != nil {
+			tb.Fatal(err)
+		}
+		base = n.distribution.part.State().Revision
+	}
+	return base
+}
+
+// BenchmarkRestartVM measures the start of a voter that holds the edits of a
+// day on its disk: until it serves a configuration, and until it has the last.
+func BenchmarkRestartVM(b *testing.B) {
+	s := loadExample(b, "verband")[0]
+	s.Voters = map[string]string{s.VM: s.PeerAddress}
+	s.DocumentFile = ""
+	n, err := Start(s, Options{})
+	if err != nil {
+		b.Fatal(err)
+	}
+	last := commitDay(b, n)
+	await(b, "last edit in force", func() bool { return n.distribution.revision() == last })
+	n.Close()
+	var serving, current time.Duration
+	for b.Loop() {
+		start := time.Now()
+		if n, err = Start(s, Options{}); err != nil {
+			b.Fatal(err)
+		}
+		if n.Snapshot() == nil {
+			b.Fatal("the restarted VM does not serve")
+		}
+		serving += time.Since(start)
+		await(b, "last edit in force", func() bool { return n.distribution.revision() == last })
+		current += time.Since(start)
+		n.Close()
+	}
+	b.ReportMetric(float64(serving.Milliseconds())/float64(b.N), "ms-serving")
+	b.ReportMetric(float64(current.Milliseconds())/float64(b.N), "ms-current")
+}
