--- a/internal/cli/report.go
+++ b/internal/cli/report.go
@@ -13,8 +13,7 @@
 )
 
 func addReport(r *registry) {
-	group := r.app.Command("report", "Reports on the service.")
-	c := group.Command("burn", "Shows how fast the error budgets are used up.")
+	c := reportGroup(r).Command("burn", "Shows how fast the error budgets are used up.")
 	example(c, "Merges the counters of all VMs. Exit code 4 means that a VM did not answer.",
 		"cuminwing report burn --server 10.0.0.1:7005 --html burn.html")
 	file := c.Flag("html", "Write the report as one HTML page.").PlaceHolder("FILE").String()
--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -253,14 +254,36 @@
 	c.conns[vm] = nil
 }
 
+// Ports of tests lie below the range from which the system takes the ports of
+// outgoing connections, which may occupy a port between its choice and its use.
+const (
+	firstTestPort = 20000
+	testPorts     = 12000
+)
+
+var nextTestPort atomic.Uint32
+
+func init() { nextTestPort.Store(rand.Uint32N(testPorts)) }
+
+// testAddress returns an address that is free for TCP and UDP.
 func testAddress(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range testPorts {
+		address := fmt.Sprint("127.0.0.1:", firstTestPort+nextTestPort.Add(1)%testPorts)
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		l.Close()
+		p, err := net.ListenPacket("udp", address)
+		if err != nil {
+			continue
+		}
+		p.Close()
+		return address
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 func adminOf(n *Node) adminv1.AdminService {
--- a/internal/daemon/distribution.go
+++ b/internal/daemon/distribution.go
@@ -29,6 +29,8 @@
 	// persistInterval bounds how often the snapshot file is written.
 	persistInterval = time.Second
 	configFile      = "configuration.state"
+	// anyRevision is reached by every configuration.
+	anyRevision = 1
 )
 
 // distribution keeps the configuration in force on one VM. Voters take it from
@@ -89,6 +91,10 @@
 	n.duty(d.pushHints)
 	n.duty(d.follow)
 	n.duty(func(ctx context.Context) {
+		if d.revision() == 0 {
+			d.pull(ctx, hint{revision: anyRevision})
+		}
+		d.check(ctx)
 		every(ctx, configCheckInterval, func() { d.check(ctx) })
 	})
 	if n.settings.DataFolder != "" {
--- a/internal/daemon/distribution_pull.go
+++ b/internal/daemon/distribution_pull.go
@@ -144,6 +144,13 @@
 	if err != nil {
 		return nil, err
 	}
+	if d.revision() == 0 && answer.GetKeyDigest() != d.node.withdrawn.Digest() {
+		// A key that the configuration lists may be withdrawn; a VM without a
+		// disk must know that before it serves.
+		if err := d.node.withdrawals.sync(ctx, peer{address: address}); err != nil {
+			return nil, err
+		}
+	}
 	err = d.applyPull(answer)
 	var gap *sections.GapError
 	if errors.As(err, &gap) && request.GetSince() > 0 {
--- a/internal/daemon/withdrawals_test.go
+++ b/internal/daemon/withdrawals_test.go
@@ -110,3 +110,25 @@
 		t.Fatal("the stream of the withdrawn key goes on")
 	}
 }
+
+// Guards against a VM without a disk that serves withdrawn keys after a restart
+// until it has heard of them.
+func TestRestartWithoutDiskKnowsWithdrawnKeys(t *testing.T) {
+	c := newTestCluster(t, 2, 1)
+	voter := c.start(0, "muc-a", nil)
+	n := c.start(1, "nue-a", nil)
+	c.awaitMembers()
+	wantAccepted(t, applyFirst(t, voter, clusterDocument("")))
+	withdraw(t, voter, clusterKey)
+	n.Close()
+	n = c.start(1, "nue-a", nil)
+	await(t, "configuration", func() bool {
+		if callerStatus(n) == http.StatusOK {
+			t.Fatal("the withdrawn key works after the restart")
+		}
+		return n.Snapshot() != nil
+	})
+	if callerStatus(n) != http.StatusUnauthorized {
+		t.Fatal("the withdrawn key works once the configuration is in force")
+	}
+}
