--- a/internal/cli/report.go
+++ b/internal/cli/report_burn.go
@@ -12,7 +12,7 @@
 	burnv1 "github.com/cuminwing/cuminwing/proto/burn/v1"
 )
 
-func addReport(r *registry) {
+func addReportBurn(r *registry) {
 	c := reportGroup(r).Command("burn", "Shows how fast the error budgets are used up.")
 	example(c, "Merges the counters of all VMs. Exit code 4 means that a VM did not answer.",
 		"cuminwing report burn --server 10.0.0.1:7005 --html burn.html")
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -15,10 +15,11 @@
 	statusv1 "github.com/cuminwing/cuminwing/proto/status/v1"
 )
 
-// startAdmin serves operators' tools.
+// startAdmin serves operators' tools, and other VMs that forward their calls.
 func (n *Node) startAdmin() error {
 	service := adminv1.NewAdminServiceServer(adminServer{n})
 	n.adminMux.Handle(service.PathPrefix(), service)
+	n.peerMux.Handle(service.PathPrefix(), service)
 	return nil
 }
 
@@ -62,12 +63,8 @@
 func (s adminServer) historyOfVoter(ctx context.Context, limit uint32) (*adminv1.HistoryResponse, bool) {
 	ctx, cancel := context.WithTimeout(ctx, hintTimeout)
 	defer cancel()
-	for _, m := range s.node.members() {
-		if !m.Voter || m.VM == s.node.settings.VM {
-			continue
-		}
-		client := adminv1.NewAdminServiceProtobufClient(s.node.peerURL(m.AdminAddress), s.node.peerClient)
-		answer, err := client.History(ctx, &adminv1.HistoryRequest{Limit: limit, Forwarded: true})
+	for _, p := range s.node.distribution.votersByDistance() {
+		answer, err := s.forwardTo(p).History(ctx, &adminv1.HistoryRequest{Limit: limit, Forwarded: true})
 		if err == nil {
 			return answer, true
 		}
@@ -242,20 +239,16 @@
 	return &adminv1.DrainTargetResponse{Zones: s.forwardDrain(ctx, req)}, nil
 }
 
+func (s adminServer) forwardTo(p peer) adminv1.AdminService {
+	return adminv1.NewAdminServiceProtobufClient(s.node.peerURL(p.address), s.node.peerClient)
+}
+
 func (s adminServer) forwardDrain(ctx context.Context, req *adminv1.DrainTargetRequest) []*adminv1.ZoneReach {
 	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
 	defer cancel()
-	addresses := make(map[string]string)
-	for _, m := range s.node.members() {
-		addresses[m.VM] = m.AdminAddress
-	}
 	forwarded := &adminv1.DrainTargetRequest{Id: req.GetId(), EditId: req.GetEditId(), Resume: req.GetResume(), Forwarded: true}
 	return s.node.poll(ctx, true, func(ctx context.Context, p peer) (string, bool) {
-		if addresses[p.vm] == "" {
-			return "", false
-		}
-		client := adminv1.NewAdminServiceProtobufClient(s.node.peerURL(addresses[p.vm]), s.node.peerClient)
-		_, err := client.DrainTarget(ctx, forwarded)
+		_, err := s.forwardTo(p).DrainTarget(ctx, forwarded)
 		return "", err == nil
 	})
 }
