Decide a drain on one VM only

A forwarded drain made each VM decide for itself, so that a late call could undo a newer decision. Membership spreads decisions now; forwarded calls wait until the decision has arrived and so confirm it.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sort"
+	"time"
 
 	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
@@ -225,20 +226,48 @@
 	return response, nil
 }
 
-// DrainTarget implements adminv1.AdminService. A drain lives in memory: a VM
-// that restarts does not know of it.
+// DrainTarget implements adminv1.AdminService. Membership spreads the decision;
+// a forwarded call only waits for it. If each VM decided for itself, a late call
+// could undo a newer decision.
 func (s adminServer) DrainTarget(ctx context.Context, req *adminv1.DrainTargetRequest) (*adminv1.DrainTargetResponse, error) {
-	if _, known := s.node.registry.Get(req.GetId()); !known && !req.GetForwarded() {
+	if req.GetForwarded() {
+		return &adminv1.DrainTargetResponse{}, s.awaitDrain(ctx, req)
+	}
+	if _, known := s.node.registry.Get(req.GetId()); !known {
 		return nil, twirp.NotFoundError("this VM knows no target " + req.GetId())
 	}
 	s.node.registry.Drain(req.GetId(), !req.GetResume())
 	s.node.logger.Info("target drained by an operator", zap.String("target", req.GetId()), zap.Bool("resume", req.GetResume()))
-	if req.GetForwarded() {
-		return &adminv1.DrainTargetResponse{}, nil
-	}
 	return &adminv1.DrainTargetResponse{Zones: s.forwardDrain(ctx, req)}, nil
 }
 
+// awaitDrain returns once the decision has arrived here.
+func (s adminServer) awaitDrain(ctx context.Context, req *adminv1.DrainTargetRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
+	defer cancel()
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for !s.drainIs(req.GetId(), !req.GetResume()) {
+		select {
+		case <-ctx.Done():
+			return twirp.NewError(twirp.DeadlineExceeded, "the decision has not arrived here")
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+// drainIs reports whether the decision about a target is known here. A target
+// without a decision is in service.
+func (s adminServer) drainIs(id string, drained bool) bool {
+	for _, d := range s.node.registry.Drains() {
+		if d.ID == id {
+			return d.Drained == drained
+		}
+	}
+	return !drained
+}
+
 func (s adminServer) forwardTo(p peer) adminv1.AdminService {
 	return adminv1.NewAdminServiceProtobufClient(s.node.peerURL(p.address), s.node.peerClient)
 }
--- a/internal/daemon/examples_test.go
+++ b/internal/daemon/examples_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cuminwing/cuminwing/internal/config"
 	"github.com/cuminwing/cuminwing/internal/settings"
+	"github.com/cuminwing/cuminwing/internal/target"
 	adminv1 "github.com/cuminwing/cuminwing/proto/admin/v1"
 	configv1 "github.com/cuminwing/cuminwing/proto/config/v1"
 )
@@ -144,6 +145,31 @@
 	return &configv1.Edit{Id: id, Sections: []*configv1.SectionEdit{{Section: "rates", BaseRevision: base, Patch: []byte(patch)}}}
 }
 
+// Guards against a drain that some VMs do not hear of, and against a return to
+// service that an earlier drain undoes.
+func TestDrainReachesAllVMs(t *testing.T) {
+	nodes := startExample(t, "verband")
+	awaitExample(t, nodes)
+	a := target.Announcement{ID: "engine-1", Incarnation: 1, Sequence: 1, Kind: target.KindEngine, Zone: nodes[8].settings.Zone, URL: "http://127.0.0.1:1"}
+	nodes[8].acceptAnnouncement(a)
+	for _, resume := range []bool{false, true, false} {
+		r, err := adminOf(nodes[8]).DrainTarget(context.Background(), &adminv1.DrainTargetRequest{Id: a.ID, Resume: resume})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, z := range r.GetZones() {
+			if !z.GetComplete() {
+				t.Errorf("resume %v: zone %s has %d of %d VMs", resume, z.GetZone(), z.GetConfirmed(), z.GetKnown())
+			}
+		}
+		for _, n := range nodes {
+			if !(adminServer{n}).drainIs(a.ID, !resume) {
+				t.Errorf("resume %v: VM %s has another decision", resume, n.settings.VM)
+			}
+		}
+	}
+}
+
 // Guards against an edit being executed again after the leader that committed
 // it is gone, and against a service that takes no edits then.
 func TestResendAfterLossOfLeader(t *testing.T) {
