Keep the zone of a voter that is gone; call all VMs at once

A voter that was a member counts in its zone when it no longer answers; the operators' answers had listed it under an unknown zone. A broadcast now calls up to 512 VMs at once, because silent VMs used up the time for the others.

--- a/internal/daemon/examples_test.go
+++ b/internal/daemon/examples_test.go
@@ -182,8 +182,10 @@
 	edit := rateEdit("kept", base, 4242)
 	edit.Sections[0].Patch = []byte(`{"muzeum":{"rate_tokens_per_second":4242}}`)
 	revision := wantAccepted(t, applyEdit(t, asked, edit))
+	var lostZone string
 	for _, n := range nodes {
 		if n.log.HoldsLease() {
+			lostZone = n.settings.Zone
 			n.Close()
 			break
 		}
@@ -198,7 +200,13 @@
 		t.Fatalf("the resend was executed at revision %d, want the stored answer %d", got, revision)
 	}
 	edit.Id, edit.Sections[0].BaseRevision = "next", revision
-	wantAccepted(t, applyEdit(t, asked, edit))
+	response := applyEdit(t, asked, edit)
+	wantAccepted(t, response)
+	for _, z := range response.GetZones() {
+		if lost := z.GetZone() == lostZone; z.GetKnown() != 3 || z.GetComplete() == lost {
+			t.Errorf("zone %s: %d of %d VMs, lost leader in %s", z.GetZone(), z.GetConfirmed(), z.GetKnown(), lostZone)
+		}
+	}
 }
 
 // BenchmarkCommitToInForce measures the time from the proposal of an edit at a
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -63,6 +63,8 @@
 
 	distribution *distribution
 	withdrawals  *withdrawals
+	// seenVoters holds the voters that have been members, by name.
+	seenVoters sync.Map
 	// routing shares the index of cached blocks.
 	routing *routingDuty
 
--- a/internal/daemon/reach.go
+++ b/internal/daemon/reach.go
@@ -9,8 +9,9 @@
 )
 
 // maxParallelCalls bounds the calls to other VMs that one broadcast runs at
-// the same time.
-const maxParallelCalls = 64
+// the same time. It is above the 350 VMs of the design size, so that VMs which
+// stay silent do not use up the time for the others.
+const maxParallelCalls = 512
 
 // peer is another VM as the target of a call.
 type peer struct {
@@ -22,7 +23,7 @@
 }
 
 // peers returns the other VMs: the live members, and the voters of the
-// settings, whose zones are unknown until they are members.
+// settings, whose zones are unknown until they have been members.
 func (n *Node) peers() []peer {
 	var peers []peer
 	known := map[string]bool{n.settings.VM: true}
@@ -32,12 +33,21 @@
 		}
 		known[m.VM] = true
 		_, voter := n.settings.Voters[m.VM]
-		peers = append(peers, peer{m.VM, m.Zone, m.Region, m.PeerAddress, voter || m.Voter})
+		p := peer{m.VM, m.Zone, m.Region, m.PeerAddress, voter || m.Voter}
+		peers = append(peers, p)
+		if p.voter {
+			n.seenVoters.Store(p.vm, p)
+		}
 	}
 	for vm, address := range n.settings.Voters {
-		if !known[vm] {
-			peers = append(peers, peer{vm: vm, address: address, voter: true})
+		if known[vm] {
+			continue
+		}
+		p := peer{vm: vm, address: address, voter: true}
+		if seen, ok := n.seenVoters.Load(vm); ok {
+			p = seen.(peer)
 		}
+		peers = append(peers, p)
 	}
 	return peers
 }
