Identify VMs to each other by certificate

Peer traffic was clear text even with peer_tls set. The peer listener and client now use mutual TLS 1.3; a certificate names its VM and zone as cuminwing://zone/vm. A peer whose certificate names another VM or zone than the member (or the voter in the settings) at that address is refused; a VM that is not yet a member is accepted on its certificate. Files are read again when they change, at most once a second; files that cannot be used leave the former certificate in force.

Drains were forwarded to the admin address with the peer scheme, which would fail with TLS; the peer listener now serves the admin calls, too.

Tests picked ports that outgoing connections of other tests took before the VM listened (two failures in one run: TCP 39289, UDP 44585). testAddress now picks ports below the system's range that are free for TCP and UDP.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -19,6 +19,8 @@
 func (n *Node) startAdmin() error {
 	service := adminv1.NewAdminServiceServer(adminServer{n})
 	n.adminMux.Handle(service.PathPrefix(), service)
+	// Drains are forwarded between VMs, where the peer listener has TLS.
+	n.peerMux.Handle(service.PathPrefix(), service)
 	return nil
 }
 
@@ -209,16 +211,9 @@
 func (s adminServer) forwardDrain(ctx context.Context, req *adminv1.DrainTargetRequest) []*adminv1.ZoneReach {
 	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
 	defer cancel()
-	addresses := make(map[string]string)
-	for _, m := range s.node.members() {
-		addresses[m.VM] = m.AdminAddress
-	}
 	forwarded := &adminv1.DrainTargetRequest{Id: req.GetId(), EditId: req.GetEditId(), Resume: req.GetResume(), Forwarded: true}
 	return s.node.poll(ctx, true, func(ctx context.Context, p peer) (string, bool) {
-		if addresses[p.vm] == "" {
-			return "", false
-		}
-		client := adminv1.NewAdminServiceProtobufClient(s.node.peerURL(addresses[p.vm]), s.node.peerClient)
+		client := adminv1.NewAdminServiceProtobufClient(s.node.peerURL(p.address), s.node.peerClient)
 		_, err := client.DrainTarget(ctx, forwarded)
 		return "", err == nil
 	})
--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -253,14 +254,32 @@
 	c.conns[vm] = nil
 }
 
+// testAddress returns a loopback address that is free for TCP and UDP. Its
+// port lies below the range from which the system gives out ports, so that no
+// outgoing connection takes it before the VM listens.
 func testAddress(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range 100 {
+		address := fmt.Sprintf("127.0.0.1:%d", 20000+rand.IntN(12000))
+		if free(address) {
+			return address
+		}
+	}
+	t.Fatal("found no free port")
+	return ""
+}
+
+func free(address string) bool {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
-		t.Fatal(err)
+		return false
 	}
 	defer l.Close()
-	return l.Addr().String()
+	p, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	return p.Close() == nil
 }
 
 func adminOf(n *Node) adminv1.AdminService {
--- a/internal/daemon/membership_test.go
+++ b/internal/daemon/membership_test.go
@@ -11,7 +11,7 @@
 // known only where they announce themselves, a shutdown that others find out
 // by time-out, and usage that a shutdown loses.
 func TestVMsShareMembersTargetsAndUsage(t *testing.T) {
-	vms := startVMs(t, yardsDocument(), "muc-a", "muc-a", "muc-b")
+	vms := startVMs(t, testDocument(), "muc-a", "muc-a", "muc-b")
 	for _, vm := range vms {
 		await(t, "members at "+vm.settings.VM, func() bool { return len(vm.members()) == len(vms) })
 	}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -79,6 +80,8 @@
 	peerMux    *http.ServeMux
 	adminMux   *http.ServeMux
 	peerClient *http.Client
+	// peerTLS is nil if VMs speak to each other in clear text.
+	peerTLS *tls.Config
 
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -93,6 +96,7 @@
 	steps := []func() error{
 		n.startWithdrawals,
 		n.startConfig,
+		n.startPeerTLS,
 		n.startMembership,
 		n.startTargets,
 		n.startRates,
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -16,7 +16,7 @@
 // startPeers serves other VMs and operators' tools. Duties register their
 // handlers on peerMux and adminMux before or after this step.
 func (n *Node) startPeers() error {
-	peer := &http.Server{Handler: n.peerMux, ReadHeaderTimeout: peerReadHeaderTimeout}
+	peer := &http.Server{Handler: n.peerMux, ReadHeaderTimeout: peerReadHeaderTimeout, TLSConfig: n.peerTLS}
 	if err := n.listen(n.settings.PeerAddress, peer); err != nil {
 		return err
 	}
