Roll out weights by fenced orders from the log's leader

Orders to targets did not exist. The control log now holds the order lease with its fencing number and every open order. The planner is a pure function of registry, document and order state: at most max_concurrent_loads engines of a model load at once, an engine that serves is taken only if another one in its zone serves too, and while a version is ordered at most half of a zone moves; the other half follows when the operator makes it the serving version. Order IDs are a function of the plan, so that two leaders issue one order. Orders are resent until the engine reports the version. Targets without fencing check are ordered only 5.105 s after the takeover, when the former lease has ended with both clocks off by 1%.

The stand-in engine takes orders, with and without fencing check.

--- a/internal/adapter/gossip/codec_test.go
+++ b/internal/adapter/gossip/codec_test.go
@@ -30,6 +30,49 @@
 	}
 }
 
+// fill sets every field that has an encoding to a value of its own.
+func fill(v reflect.Value, n *int) {
+	*n++
+	switch v.Kind() {
+	case reflect.Struct:
+		for i := range v.NumField() {
+			fill(v.Field(i), n)
+		}
+	case reflect.String:
+		v.SetString(string(rune('a' + *n)))
+	case reflect.Bool:
+		v.SetBool(true)
+	case reflect.Int, reflect.Int64:
+		v.SetInt(int64(*n))
+	case reflect.Uint8, reflect.Uint64:
+		v.SetUint(uint64(*n))
+	case reflect.Slice:
+		v.Set(reflect.MakeSlice(v.Type(), 1, 1))
+		fill(v.Index(0), n)
+	}
+}
+
+// Guards against a field that is added to an announcement or a member and
+// does not reach other VMs.
+func TestEveryFieldIsCarried(t *testing.T) {
+	var m membership.Message
+	n := 0
+	var announcement membership.TargetUpdate
+	fill(reflect.ValueOf(&announcement.Announcement).Elem(), &n)
+	m.Targets = []membership.TargetUpdate{announcement}
+	var member membership.Update
+	fill(reflect.ValueOf(&member.Member).Elem(), &n)
+	m.Updates = []membership.Update{member}
+	packet, err := Encode(nil, &m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := Decode(nil, packet)
+	if err != nil || !reflect.DeepEqual(got, m) {
+		t.Fatalf("got  %+v\nwant %+v, %v", got, m, err)
+	}
+}
+
 // Guards against packets from outside the service, or changed on the way,
 // reaching the core.
 func TestChangedPacketsAreRefused(t *testing.T) {
--- a/internal/adapter/gossip/convert.go
+++ b/internal/adapter/gossip/convert.go
@@ -79,6 +79,7 @@
 	flagKV
 	flagLoading
 	flagLeaving
+	flagHTTP2
 )
 
 func targetToProto(t *membership.TargetUpdate) *gossipv1.Announcement {
@@ -127,6 +128,7 @@
 	a.Capabilities.Resume = p.Flags&flagResume != 0
 	a.Capabilities.Priority = p.Flags&flagPriority != 0
 	a.Capabilities.KV = p.Flags&flagKV != 0
+	a.Capabilities.HTTP2 = p.Flags&flagHTTP2 != 0
 	return membership.TargetUpdate{Announcement: a, Age: fromMS(p.AgeMs)}
 }
 
@@ -141,6 +143,7 @@
 	set(a.Capabilities.Resume, flagResume)
 	set(a.Capabilities.Priority, flagPriority)
 	set(a.Capabilities.KV, flagKV)
+	set(a.Capabilities.HTTP2, flagHTTP2)
 	set(a.Loading, flagLoading)
 	set(a.Leaving, flagLeaving)
 	return f
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -24,6 +24,7 @@
 	"github.com/cuminwing/cuminwing/internal/control"
 	"github.com/cuminwing/cuminwing/internal/keys"
 	"github.com/cuminwing/cuminwing/internal/membership"
+	"github.com/cuminwing/cuminwing/internal/orders"
 	"github.com/cuminwing/cuminwing/internal/serving"
 	"github.com/cuminwing/cuminwing/internal/settings"
 	"github.com/cuminwing/cuminwing/internal/target"
@@ -60,6 +61,7 @@
 	registry  *target.Registry
 	gossip    *gossip.Conn
 	ledger    *usage.Ledger
+	orders    *orders.Part
 	callers   *callerhttp.Server
 
 	distribution *distribution
@@ -102,9 +104,11 @@
 		n.startRates,
 		n.startObserver,
 		n.startUsage,
+		n.startOrders,
 		n.startServing,
 		n.startControl,
 		n.startUsageFlush,
+		n.startOrdering,
 		n.startStatus,
 		n.startAdmin,
 		n.startPeers,
--- /dev/null
+++ b/internal/orders/orders_test.go
@@ -0,0 +1,219 @@
+package orders
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/cuminwing/cuminwing/internal/config"
+	"github.com/cuminwing/cuminwing/internal/target"
+	ordersv1 "github.com/cuminwing/cuminwing/proto/orders/v1"
+)
+
+const model = "pisarz"
+
+// fleet simulates engines that carry out orders.
+type fleet struct {
+	t       *rapid.T
+	now     time.Time
+	part    *Part
+	engines []*target.Target
+	until   map[string]time.Time
+	models  map[string]config.Model
+	limit   int
+}
+
+func (f *fleet) propose(c *ordersv1.Command) bool {
+	body, err := proto.Marshal(c)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	var a ordersv1.Answer
+	if err := proto.Unmarshal(f.part.Apply(1, f.now, body), &a); err != nil {
+		f.t.Fatal(err)
+	}
+	return a.GetAccepted()
+}
+
+func (f *fleet) acquire(vm string) uint64 {
+	if !f.propose(&ordersv1.Command{Kind: &ordersv1.Command_Acquire{Acquire: &ordersv1.Acquire{Vm: vm, Incarnation: 1}}}) {
+		f.t.Fatal("lease was refused")
+	}
+	return f.part.State().Fence
+}
+
+// lead does one round of the holder. Delivered says which orders arrive.
+func (f *fleet) lead(fence uint64, delivered func() bool) {
+	plan := Next(f.engines, f.models, f.part.State(), f.now)
+	f.propose(&ordersv1.Command{Kind: &ordersv1.Command_Close{Close: &ordersv1.Close{Fence: fence, Ids: plan.Done, Done: true}}})
+	f.propose(&ordersv1.Command{Kind: &ordersv1.Command_Close{Close: &ordersv1.Close{Fence: fence, Ids: plan.Failed}}})
+	f.propose(&ordersv1.Command{Kind: &ordersv1.Command_Issue{Issue: &ordersv1.Issue{Fence: fence, Orders: plan.Issue}}})
+	if fence != f.part.State().Fence {
+		return
+	}
+	for _, o := range f.part.State().Open() {
+		if delivered() {
+			f.carryOut(o)
+		}
+	}
+}
+
+func (f *fleet) carryOut(o *ordersv1.Order) {
+	for i, e := range f.engines {
+		if e.ID != o.GetTarget() || e.Incarnation != o.GetIncarnation() || e.Loading || e.Version == o.GetVersion() {
+			continue
+		}
+		loading := *e
+		loading.Loading, loading.Version = true, o.GetVersion()
+		f.engines[i] = &loading
+		f.until[e.ID] = f.now.Add(time.Second)
+	}
+}
+
+// pass lets time pass and checks what must always hold.
+func (f *fleet) pass(d time.Duration) {
+	f.now = f.now.Add(d)
+	loading, serving := 0, map[string]int{}
+	for i, e := range f.engines {
+		next := *e
+		next.LastHeard = f.now
+		next.Loading = e.Loading && f.now.Before(f.until[e.ID])
+		f.engines[i] = &next
+		if next.Loading {
+			loading++
+		}
+		if next.Version == f.models[model].ServingVersion && next.Usable(f.now) {
+			serving[next.Zone]++
+		}
+	}
+	if loading > f.limit {
+		f.t.Fatalf("%d engines load at once, limit %d", loading, f.limit)
+	}
+	for _, zone := range []string{"z0", "z1"} {
+		if f.models[model].OrderedVersion != "" && serving[zone] == 0 {
+			f.t.Fatalf("no engine serves in %s", zone)
+		}
+	}
+}
+
+func newFleet(rt *rapid.T) *fleet {
+	limit := rapid.IntRange(1, 3).Draw(rt, "limit")
+	f := &fleet{
+		t: rt, now: time.Unix(1_700_000_000, 0), part: NewPart(), until: make(map[string]time.Time), limit: limit,
+		models: map[string]config.Model{model: {ServingVersion: "v1", OrderedVersion: "v2", MaxConcurrentLoads: limit}},
+	}
+	for i := range rapid.IntRange(4, 18).Draw(rt, "engines") {
+		f.engines = append(f.engines, &target.Target{LastHeard: f.now, Announcement: target.Announcement{
+			ID: fmt.Sprintf("e%02d", i), Incarnation: 1, Kind: target.KindEngine, Zone: fmt.Sprintf("z%d", i%2), Model: model, Version: "v1",
+		}})
+	}
+	return f
+}
+
+func (f *fleet) holding(version string) (n int) {
+	for _, e := range f.engines {
+		if e.Version == version && !e.Loading {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a roll-out that loads on too many engines at once, leaves a
+// zone without an engine, or stops after the loss of orders, of the leader or
+// of an engine.
+func TestRollOutKeepsServingAndFinishes(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newFleet(rt)
+		fence := f.acquire("vm-1")
+		lossy := func() bool { return rapid.IntRange(0, 2).Draw(rt, "delivered") > 0 }
+		for range rapid.IntRange(0, 30).Draw(rt, "rounds") {
+			switch rapid.IntRange(0, 9).Draw(rt, "fault") {
+			case 0:
+				former := fence
+				fence = f.acquire("vm-2")
+				f.lead(former, lossy)
+			case 1:
+				data, err := f.part.Snapshot()
+				if err != nil || f.part.Restore(data) != nil {
+					rt.Fatal("snapshot", err)
+				}
+			}
+			f.lead(fence, lossy)
+			f.pass(700 * time.Millisecond)
+		}
+		f.finish(rt, fence)
+	})
+}
+
+func (f *fleet) finish(rt *rapid.T, fence uint64) {
+	always := func() bool { return true }
+	half := 0
+	for range 200 {
+		f.lead(fence, always)
+		f.pass(700 * time.Millisecond)
+	}
+	zones := map[string]int{}
+	for _, e := range f.engines {
+		zones[e.Zone]++
+	}
+	for _, n := range zones {
+		half += n / 2
+	}
+	if got := f.holding("v2"); got != half {
+		rt.Fatalf("%d engines hold the ordered version, want half of each zone, %d", got, half)
+	}
+	f.models[model] = config.Model{ServingVersion: "v2", MaxConcurrentLoads: f.limit}
+	for range 200 {
+		f.lead(fence, always)
+		f.pass(700 * time.Millisecond)
+	}
+	if got := f.holding("v2"); got != len(f.engines) {
+		rt.Fatalf("%d of %d engines hold the serving version at the end", got, len(f.engines))
+	}
+}
+
+// Guards against a former holder that changes the state after another took
+// the lease, or renews what it lost.
+func TestFormerHolderIsFencedOff(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newFleet(rt)
+		former := f.acquire("vm-1")
+		f.acquire("vm-2")
+		renew := &ordersv1.Acquire{Vm: "vm-1", Incarnation: 1, Fence: former}
+		if f.propose(&ordersv1.Command{Kind: &ordersv1.Command_Acquire{Acquire: renew}}) {
+			rt.Fatal("the former holder renewed the lease")
+		}
+		f.lead(former, func() bool { return true })
+		if n := len(f.part.State().Orders); n != 0 {
+			rt.Fatalf("the former holder issued %d orders", n)
+		}
+	})
+}
+
+// Guards against two holders that order a target without fencing at the same
+// time, with clocks that drift apart by 1% each.
+func TestHoldersNeverOverlap(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		start := time.Unix(1_700_000_000, 0)
+		rate := func(name string) float64 { return 1 + float64(rapid.IntRange(-10, 10).Draw(rt, name))/1000 }
+		oldRate, newRate := rate("old"), rate("new")
+		local := func(real time.Duration, rate float64) time.Time {
+			return start.Add(time.Duration(float64(real) * rate))
+		}
+		sent := time.Duration(rapid.IntRange(0, 2000).Draw(rt, "sent")) * time.Millisecond
+		committed := sent + time.Duration(rapid.IntRange(0, 2000).Draw(rt, "takeover"))*time.Millisecond
+		former := Take(1, local(0, oldRate), local(0, oldRate))
+		former.Renew(local(sent, oldRate))
+		holder := Take(2, local(committed, newRate), local(committed, newRate))
+		for real := committed; real < committed+8*time.Second; real += 5 * time.Millisecond {
+			holder.Renew(local(real, newRate))
+			if former.Holds(local(real, oldRate)) && holder.HoldsAlone(local(real, newRate)) {
+				rt.Fatalf("both hold %v after the takeover", real-committed)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/orders/part.go
@@ -0,0 +1,164 @@
+// Package orders decides what targets are ordered to load. The control log
+// holds the order lease, its fencing numbers and every open order, so that a
+// new leader goes on where the old one stopped. The package does no I/O.
+package orders
+
+import (
+	"fmt"
+	"sort"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	ordersv1 "github.com/cuminwing/cuminwing/proto/orders/v1"
+)
+
+// keepClosed is how long a closed order is remembered, so that a late issue of
+// the same order is refused.
+const keepClosed = time.Hour
+
+// State is the order state as of one command. It must not be changed.
+type State struct {
+	// VM and Incarnation hold the lease under Fence.
+	VM          string
+	Incarnation uint64
+	Fence       uint64
+	// Orders holds open and lately closed orders by ID.
+	Orders map[string]*ordersv1.Order
+}
+
+// Open returns the open orders, sorted by ID.
+func (s *State) Open() []*ordersv1.Order {
+	var open []*ordersv1.Order
+	for _, o := range s.Orders {
+		if o.GetClosedMs() == 0 {
+			open = append(open, o)
+		}
+	}
+	sort.Slice(open, func(i, j int) bool { return open[i].GetId() < open[j].GetId() })
+	return open
+}
+
+// Part is the replicated state. It implements control.Part; State may be
+// called by any goroutine.
+type Part struct{ state atomic.Pointer[State] }
+
+// NewPart returns an empty state.
+func NewPart() *Part {
+	p := &Part{}
+	p.state.Store(&State{Orders: make(map[string]*ordersv1.Order)})
+	return p
+}
+
+// State returns the current state.
+func (p *Part) State() *State { return p.state.Load() }
+
+// Apply implements control.Part.
+func (p *Part) Apply(_ uint64, now time.Time, body []byte) []byte {
+	var c ordersv1.Command
+	next := p.State().copy(now)
+	accepted := proto.Unmarshal(body, &c) == nil && next.apply(&c, now)
+	if accepted {
+		p.state.Store(next)
+	}
+	answer, err := proto.Marshal(&ordersv1.Answer{Accepted: accepted, Fence: p.State().Fence})
+	if err != nil {
+		return nil
+	}
+	return answer
+}
+
+// copy returns a state that may be changed, without what is to be forgotten.
+func (s *State) copy(now time.Time) *State {
+	next := *s
+	next.Orders = make(map[string]*ordersv1.Order, len(s.Orders))
+	for id, o := range s.Orders {
+		if o.GetClosedMs() == 0 || now.Sub(time.UnixMilli(o.GetClosedMs())) < keepClosed {
+			next.Orders[id] = o
+		}
+	}
+	return &next
+}
+
+func (s *State) apply(c *ordersv1.Command, now time.Time) bool {
+	switch k := c.GetKind().(type) {
+	case *ordersv1.Command_Acquire:
+		return s.acquire(k.Acquire)
+	case *ordersv1.Command_Issue:
+		return s.issue(k.Issue, now)
+	case *ordersv1.Command_Close:
+		return s.end(k.Close, now)
+	}
+	return false
+}
+
+// acquire gives the lease to the VM that asks, with a new fencing number, or
+// renews it for its holder. Only the leader of the control log asks; that the
+// former holder has stopped is for the new holder to make sure.
+func (s *State) acquire(a *ordersv1.Acquire) bool {
+	holds := s.VM == a.GetVm() && s.Incarnation == a.GetIncarnation() && s.Fence == a.GetFence()
+	if a.GetFence() != 0 {
+		return holds
+	}
+	s.VM, s.Incarnation = a.GetVm(), a.GetIncarnation()
+	s.Fence++
+	return true
+}
+
+// issue records orders. A known ID keeps its first order, so that the issue
+// may be repeated.
+func (s *State) issue(i *ordersv1.Issue, now time.Time) bool {
+	if i.GetFence() != s.Fence {
+		return false
+	}
+	for _, o := range i.GetOrders() {
+		if _, known := s.Orders[o.GetId()]; known {
+			continue
+		}
+		o.IssuedMs, o.ClosedMs = now.UnixMilli(), 0
+		s.Orders[o.GetId()] = o
+	}
+	return true
+}
+
+func (s *State) end(c *ordersv1.Close, now time.Time) bool {
+	if c.GetFence() != s.Fence {
+		return false
+	}
+	for _, id := range c.GetIds() {
+		o, known := s.Orders[id]
+		if !known || o.GetClosedMs() != 0 {
+			continue
+		}
+		closed := proto.Clone(o).(*ordersv1.Order)
+		closed.ClosedMs, closed.Done = now.UnixMilli(), c.GetDone()
+		s.Orders[id] = closed
+	}
+	return true
+}
+
+// Snapshot implements control.Part.
+func (p *Part) Snapshot() ([]byte, error) {
+	s := p.State()
+	out := &ordersv1.Snapshot{Vm: s.VM, Incarnation: s.Incarnation, Fence: s.Fence}
+	for _, o := range s.Orders {
+		out.Orders = append(out.Orders, o)
+	}
+	sort.Slice(out.Orders, func(i, j int) bool { return out.Orders[i].GetId() < out.Orders[j].GetId() })
+	return proto.MarshalOptions{Deterministic: true}.Marshal(out)
+}
+
+// Restore implements control.Part.
+func (p *Part) Restore(data []byte) error {
+	var in ordersv1.Snapshot
+	if err := proto.Unmarshal(data, &in); err != nil {
+		return fmt.Errorf("decode orders snapshot: %w", err)
+	}
+	s := &State{VM: in.GetVm(), Incarnation: in.GetIncarnation(), Fence: in.GetFence(), Orders: make(map[string]*ordersv1.Order)}
+	for _, o := range in.GetOrders() {
+		s.Orders[o.GetId()] = o
+	}
+	p.state.Store(s)
+	return nil
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -35,6 +35,8 @@
 	HTTP2 bool
 	// Cache describes the prefix cache.
 	Cache CacheOptions
+	// Orders describes how the engine takes orders.
+	Orders OrderOptions
 }
 
 // Engine is a stand-in model engine. Its answers are a function of the
@@ -53,6 +55,7 @@
 	gate        *Gate
 	faults      faults
 	kv          *kvEngine
+	orders      *orderBook
 }
 
 // StartEngine listens on address and announces the engine until it is closed.
@@ -68,11 +71,13 @@
 		listener:    listener,
 		stop:        cancel,
 		gate:        NewGate(listener),
+		orders:      newOrderBook(options.Orders),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/chat/completions", e.complete)
 	mux.HandleFunc("POST /v1/completions", e.complete)
 	mux.HandleFunc("POST /v1/requests/{id}/cancel", e.cancelRequest)
+	mux.HandleFunc("POST "+targethttp.OrderPath, e.orders.handle)
 	e.kv = newKVEngine(e.incarnation, options)
 	e.kv.register(mux)
 	e.server = &http.Server{Handler: mux, Protocols: standinProtocols()}
@@ -115,7 +120,7 @@
 
 func (e *Engine) announcement() target.Announcement {
 	o := e.options
-	return target.Announcement{
+	a := target.Announcement{
 		ID:           o.ID,
 		Incarnation:  e.incarnation,
 		Sequence:     e.sequence.Add(1),
@@ -132,6 +137,8 @@
 		Load:         e.kv.load.report(),
 		Leaving:      e.leaving.Load(),
 	}
+	e.orders.describe(&a)
+	return a
 }
 
 type engineRequest struct {
--- a/internal/target/spread.go
+++ b/internal/target/spread.go
@@ -118,7 +118,7 @@
 		_, _ = h.Write([]byte{0})
 	}
 	c := a.Capabilities
-	for _, b := range []bool{c.Fencing, c.Resume, c.Priority, c.KV, a.Loading, a.Leaving} {
+	for _, b := range []bool{c.Fencing, c.Resume, c.Priority, c.KV, c.HTTP2, a.Loading, a.Leaving} {
 		_, _ = io.WriteString(h, strconv.FormatBool(b))
 	}
 	writeUint(h, uint64(a.BatchSlots))
