--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -58,6 +58,8 @@
 	addTargets(r)
 	addReportUsage(r)
 	addDemo(r)
+	addLoad(r)
+	addReportBurn(r)
 	name, exit, err := parse(app, args)
 	if exit >= 0 {
 		return exit
