--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -33,6 +33,8 @@
 	commands map[string]command
 	// connection holds the flags for commands that call a VM.
 	connection *connection
+	// report is the parent of the reports.
+	report *kingpin.CmdClause
 }
 
 func (r *registry) add(c *kingpin.CmdClause, run command) {
--- a/internal/cli/report_usage.go
+++ b/internal/cli/report_usage.go
@@ -15,10 +15,10 @@
 
 // reportGroup returns the parent of the reports.
 func reportGroup(r *registry) *kingpin.CmdClause {
-	if group := r.app.GetCommand("report"); group != nil {
-		return group
+	if r.report == nil {
+		r.report = r.app.Command("report", "Reports on the service.")
 	}
-	return r.app.Command("report", "Reports on the service.")
+	return r.report
 }
 
 func addReportUsage(r *registry) {
