--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -23,6 +24,7 @@
 	"github.com/cuminwing/cuminwing/internal/control"
 	"github.com/cuminwing/cuminwing/internal/keys"
 	"github.com/cuminwing/cuminwing/internal/membership"
+	"github.com/cuminwing/cuminwing/internal/orders"
 	"github.com/cuminwing/cuminwing/internal/serving"
 	"github.com/cuminwing/cuminwing/internal/settings"
 	"github.com/cuminwing/cuminwing/internal/target"
@@ -62,6 +64,7 @@
 	registry  *target.Registry
 	gossip    *gossip.Conn
 	ledger    *usage.Ledger
+	orders    *orders.Part
 	callers   *callerhttp.Server
 
 	distribution *distribution
@@ -82,6 +85,8 @@
 	peerMux    *http.ServeMux
 	adminMux   *http.ServeMux
 	peerClient *http.Client
+	// peerTLS is nil if VMs speak to each other in clear text.
+	peerTLS *tls.Config
 
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -96,14 +101,17 @@
 	steps := []func() error{
 		n.startWithdrawals,
 		n.startConfig,
+		n.startPeerTLS,
 		n.startMembership,
 		n.startTargets,
 		n.startRates,
 		n.startObserver,
 		n.startUsage,
+		n.startOrders,
 		n.startServing,
 		n.startControl,
 		n.startUsageFlush,
+		n.startOrdering,
 		n.startStatus,
 		n.startAdmin,
 		n.startPeers,
