--- a/internal/daemon/passthrough.go
+++ b/internal/daemon/passthrough.go
@@ -9,7 +9,3 @@
 type discardLedger struct{}
 
 func (discardLedger) Record(serving.UsageRecord) {}
-
-type discardObserver struct{}
-
-func (discardObserver) Observe(serving.Sample) {}
--- a/internal/daemon/picker.go
+++ b/internal/daemon/picker.go
@@ -36,12 +36,12 @@
 		return nil, refusal
 	}
 	p.health.Begin(pick.Target)
-	wrapped := *pick
-	wrapped.Done = func(result serving.AttemptResult) {
+	counted := *pick
+	counted.Done = func(result serving.AttemptResult) {
 		p.health.End(pick.Target, result)
 		pick.Done(result)
 	}
-	return &wrapped, nil
+	return &counted, nil
 }
 
 // startClaims adds the records of at-most-once requests to the replicated
--- a/internal/daemon/serving.go
+++ b/internal/daemon/serving.go
@@ -16,19 +16,19 @@
 // startServing builds the request path.
 func (n *Node) startServing() error {
 	health := retry.NewHealth(n.clock)
-	engines := n.newPicker()
-	engines.Health = health
+	picker := n.newPicker()
+	picker.Health = health
 	service := &serving.Service{
 		Clock:    n.clock,
 		Limiter:  n.rates,
 		Queue:    n.newQueue(),
 		Claims:   n.startClaims(),
-		Picker:   n.newTargetPicker(engines, health),
+		Picker:   n.newTargetPicker(picker, health),
 		Retries:  retry.NewBudgets(),
 		Engines:  targethttp.NewEngines(n.options.Dial),
 		Services: targethttp.NewServices(n.options.Dial),
 		Ledger:   discardLedger{},
-		Observer: discardObserver{},
+		Observer: n.observer,
 	}
 	n.callers = &callerhttp.Server{
 		Snapshot: n.Snapshot,
