--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -22,7 +22,7 @@
 func benchEngine(b *testing.B, vm *testVM, interval time.Duration) *standin.Engine {
 	b.Helper()
 	e, err := standin.StartEngine("127.0.0.1:0", standin.EngineOptions{
-		ID: "e1", Zone: "muc-a", Region: "oberbayern", Model: yardsModel, Version: "v1",
+		ID: "e1", Zone: "muc-a", Region: "oberbayern", Model: testModel, Version: "v1",
 		TokenInterval: interval, BatchSlots: benchSlots, Announce: announceTo([]*testVM{vm}),
 	})
 	if err != nil {
@@ -36,7 +36,7 @@
 // firstToken returns the time to the first event of a stream.
 func firstToken(b *testing.B, url string) time.Duration {
 	start := time.Now()
-	resp, err := send(context.Background(), http.MethodPost, url, yardsKey, chatBody(strings.Repeat("oak ", 1000), 2, true))
+	resp, err := send(context.Background(), http.MethodPost, url, testKey, chatBody(strings.Repeat("oak ", 1000), 2, true))
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -52,7 +52,7 @@
 // BenchmarkFirstToken measures what the router adds to the time to first token
 // against a direct call. The target is 1 ms at the median and 3 ms at p99.
 func BenchmarkFirstToken(b *testing.B) {
-	vm := startVM(b, "muc-a", yardsDocument())
+	vm := startVM(b, "muc-a", testDocument())
 	engine := benchEngine(b, vm, 0)
 	var routed, direct []time.Duration
 	for b.Loop() {
@@ -76,7 +76,7 @@
 // target is 10,000 for the router alone.
 func BenchmarkTokens(b *testing.B) {
 	const streams, tokens = 16, 2000
-	vm := startVM(b, "muc-a", yardsDocument())
+	vm := startVM(b, "muc-a", testDocument())
 	benchEngine(b, vm, 0)
 	total := 0
 	started, cpu := time.Now(), processTime(b)
@@ -93,7 +93,7 @@
 }
 
 func drain(b *testing.B, vm *testVM, tokens int) {
-	resp, err := send(context.Background(), http.MethodPost, vm.base+"/v1/chat/completions", yardsKey, chatBody("dossier", tokens, true))
+	resp, err := send(context.Background(), http.MethodPost, vm.base+"/v1/chat/completions", testKey, chatBody("dossier", tokens, true))
 	if err != nil {
 		b.Error(err)
 		return
@@ -111,12 +111,12 @@
 func BenchmarkOpenStreams(b *testing.B) {
 	const streams = 300
 	for b.Loop() {
-		vm := startVM(b, "muc-a", yardsDocument())
+		vm := startVM(b, "muc-a", testDocument())
 		benchEngine(b, vm, time.Hour)
 		before := heapAndStacks()
 		ctx, cancel := context.WithCancel(context.Background())
 		for range streams {
-			resp, err := send(ctx, http.MethodPost, vm.base+"/v1/chat/completions", yardsKey, chatBody("dossier", 1000, true))
+			resp, err := send(ctx, http.MethodPost, vm.base+"/v1/chat/completions", testKey, chatBody("dossier", 1000, true))
 			if err != nil || resp.StatusCode != http.StatusOK {
 				b.Fatal(err)
 			}
@@ -138,16 +138,16 @@
 // against a call of the same service without a claim. The target is under 5 ms
 // at p99.
 func BenchmarkClaim(b *testing.B) {
-	vms := startVMs(b, yardsDocument(), "muc-a", "muc-b", "muc-a")
+	vms := startVMs(b, testDocument(), "muc-a", "muc-b", "muc-a")
 	startService(b, "orders", "o1", vms...)
 	startService(b, "stock", "s1", vms...)
 	await(b, "control log", func() bool {
-		status, _, _ := call(b, "POST", vms[0].base+"/orders", yardsKey, "x")
+		status, _, _ := call(b, "POST", vms[0].base+"/orders", testKey, "x")
 		return status == 200
 	})
 	timed := func(path string) time.Duration {
 		start := time.Now()
-		if status, _, body := call(b, "POST", vms[1].base+path, yardsKey, "x"); status != 200 {
+		if status, _, body := call(b, "POST", vms[1].base+path, testKey, "x"); status != 200 {
 			b.Fatal(status, body)
 		}
 		return time.Since(start)
--- a/internal/daemon/e2e_test.go
+++ b/internal/daemon/e2e_test.go
@@ -13,7 +13,7 @@
 // Guards against streams that a usual client library takes for broken or
 // incomplete, through three VMs in two zones, while engines crash and return.
 func TestClientLibraryStreamsThroughCrash(t *testing.T) {
-	vms := startVMs(t, yardsDocument(), "muc-a", "muc-b", "muc-a")
+	vms := startVMs(t, testDocument(), "muc-a", "muc-b", "muc-a")
 	engines := []*standin.Engine{startEngine(t, "e1", false, vms...), startEngine(t, "e2", true, vms...), startEngine(t, "e3", false, vms...)}
 	// The answer of a stand-in depends on the bytes of the prompt, so that
 	// only the same client gives the same answer.
@@ -49,9 +49,9 @@
 
 // clientStream streams one answer with the client library.
 func clientStream(t *testing.T, vm *testVM, each func(n int)) (text string, usage int64) {
-	client := openai.NewClient(option.WithBaseURL(vm.base+"/v1"), option.WithAPIKey(yardsKey), option.WithMaxRetries(0))
+	client := openai.NewClient(option.WithBaseURL(vm.base+"/v1"), option.WithAPIKey(testKey), option.WithMaxRetries(0))
 	stream := client.Chat.Completions.NewStreaming(t.Context(), openai.ChatCompletionNewParams{
-		Model:         yardsModel,
+		Model:         testModel,
 		MaxTokens:     openai.Int(300),
 		Messages:      []openai.ChatCompletionMessageParamUnion{openai.UserMessage("dossier")},
 		StreamOptions: openai.ChatCompletionStreamOptionsParam{IncludeUsage: openai.Bool(true)},
--- a/internal/daemon/limits_test.go
+++ b/internal/daemon/limits_test.go
@@ -30,7 +30,7 @@
 // Guards against callers that exceed a limit and still reach a target, and
 // against refusals that do not say not-run.
 func TestCallerLimits(t *testing.T) {
-	document := yardsDocument()
+	document := testDocument()
 	document.Limits.MaxBodyBytes = 2000
 	document.Limits.MaxHeaderBytes = 1000
 	document.Limits.MaxPromptTokens = 100
@@ -51,7 +51,7 @@
 		{"json", "{", "", 400},
 		{"choices", strings.Replace(chatBody("oak", 1, true), "{", `{"n":1000,`, 1), "", 400},
 	} {
-		status, header, _ := call(t, "POST", chat, yardsKey, c.body, "X-Filler", c.header)
+		status, header, _ := call(t, "POST", chat, testKey, c.body, "X-Filler", c.header)
 		if status != c.status || header.Get("Cuminwing-Run") != "not-run" {
 			t.Errorf("%s: status %d, %q", c.name, status, header.Get("Cuminwing-Run"))
 		}
@@ -63,13 +63,13 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	for range 2 {
-		resp, err := send(ctx, http.MethodPost, chat, yardsKey, chatBody("oak", 9, true))
+		resp, err := send(ctx, http.MethodPost, chat, testKey, chatBody("oak", 9, true))
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer resp.Body.Close()
 	}
-	status, header, _ := call(t, "POST", chat, yardsKey, chatBody("oak", 1, true))
+	status, header, _ := call(t, "POST", chat, testKey, chatBody("oak", 1, true))
 	if status != 429 || header.Get("Cuminwing-Run") != "not-run" || header.Get("Retry-After") == "" {
 		t.Errorf("third request of the workspace: status %d, %v", status, header)
 	}
@@ -140,7 +140,7 @@
 		*a = testAddress(t)
 	}
 	s.Voters = map[string]string{s.VM: s.PeerAddress}
-	writeJSONFile(t, s.DocumentFile, yardsDocument())
+	writeJSONFile(t, s.DocumentFile, testDocument())
 	writeJSONFile(t, filepath.Join(folder, "settings.json"), s)
 	var logs bytes.Buffer
 	daemon := exec.Command(binary, "--settings", filepath.Join(folder, "settings.json"))
@@ -159,7 +159,7 @@
 		return err == nil && resp.StatusCode == http.StatusOK
 	}
 	await(t, "ready daemon", ready)
-	engine, err := standin.StartEngine("127.0.0.1:0", standin.EngineOptions{ID: "e1", Zone: "muc-a", Region: "oberbayern", Model: yardsModel, Version: "v1", TokenInterval: 5 * time.Millisecond, BatchSlots: 8, Announce: announceTo([]*testVM{vm})})
+	engine, err := standin.StartEngine("127.0.0.1:0", standin.EngineOptions{ID: "e1", Zone: "muc-a", Region: "oberbayern", Model: testModel, Version: "v1", TokenInterval: 5 * time.Millisecond, BatchSlots: 8, Announce: announceTo([]*testVM{vm})})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -26,6 +26,7 @@
 	"github.com/cuminwing/cuminwing/internal/serving"
 	"github.com/cuminwing/cuminwing/internal/settings"
 	"github.com/cuminwing/cuminwing/internal/target"
+	"github.com/cuminwing/cuminwing/internal/usage"
 )
 
 // Options are what a test replaces.
@@ -57,6 +58,7 @@
 	withdrawn *keys.Withdrawn
 	registry  *target.Registry
 	gossip    *gossip.Conn
+	ledger    *usage.Ledger
 	callers   *callerhttp.Server
 
 	distribution *distribution
@@ -97,8 +99,10 @@
 		n.startTargets,
 		n.startRates,
 		n.startObserver,
+		n.startUsage,
 		n.startServing,
 		n.startControl,
+		n.startUsageFlush,
 		n.startStatus,
 		n.startAdmin,
 		n.startPeers,
@@ -222,6 +226,9 @@
 	return nil
 }
 
+// drainPoll is how often a shutdown looks whether a duty has finished.
+const drainPoll = 20 * time.Millisecond
+
 // lameDuck is how long a VM that shuts down goes on accepting connections, so
 // that load balancers see that it is not ready before it refuses any.
 const lameDuck = time.Second
@@ -240,6 +247,7 @@
 	// Waits for connections, not only for handlers: the end of an answer is
 	// still on its way when its handler has returned.
 	err := n.callerServer.Shutdown(ctx)
+	n.flushLastUsage()
 	n.leaveControl()
 	n.Close()
 	return err
--- a/internal/daemon/services_test.go
+++ b/internal/daemon/services_test.go
@@ -47,22 +47,22 @@
 // Guards against calls that lose their method, query, body or answer, and
 // against routes that are open to the wrong callers.
 func TestServiceCalls(t *testing.T) {
-	vm := startVM(t, "muc-a", yardsDocument())
+	vm := startVM(t, "muc-a", testDocument())
 	service := startService(t, "stock", "s1", vm)
 	large := strings.Repeat("sleeper ", 100_000)
 	for _, c := range []struct {
 		method, path, key, body string
 		status                  int
 	}{
-		{"GET", "/stock/oak?count=2&size=l", yardsKey, "", 200},
-		{"PUT", "/stock/oak%2Fgrade", yardsKey, "body", 200},
-		{"POST", "/stock", yardsKey, large, 200},
+		{"GET", "/stock/oak?count=2&size=l", testKey, "", 200},
+		{"PUT", "/stock/oak%2Fgrade", testKey, "body", 200},
+		{"POST", "/stock", testKey, large, 200},
 		{"POST", "/open/price", "", "body", 200},
 		{"GET", "/stock/oak", "", "", 401},
 		{"GET", "/stock/oak", "cw-wrong", "", 401},
-		{"GET", "/stockyard", yardsKey, "", 404},
-		{"GET", "/stock/../orders", yardsKey, "", 400},
-		{"TRACE", "/stock", yardsKey, "", 405},
+		{"GET", "/stockyard", testKey, "", 404},
+		{"GET", "/stock/../orders", testKey, "", 400},
+		{"TRACE", "/stock", testKey, "", 405},
 	} {
 		before := service.Total()
 		status, header, body := call(t, c.method, vm.base+c.path, c.key, c.body)
@@ -93,10 +93,10 @@
 		{"body is gone", standin.ServiceFaults{DropAnswer: true, Requests: 1}, large, 502, 1},
 		{"cut answer", standin.ServiceFaults{CutAfter: 2, Requests: 1}, "body", 0, 1},
 	} {
-		vm := startVM(t, "muc-a", yardsDocument())
+		vm := startVM(t, "muc-a", testDocument())
 		service := startService(t, "stock", "s1", vm)
 		service.SetFaults(c.fault)
-		status, _, _ := call(t, "POST", vm.base+"/stock", yardsKey, c.body)
+		status, _, _ := call(t, "POST", vm.base+"/stock", testKey, c.body)
 		if status != c.status || service.Total() != c.ran {
 			t.Errorf("%s: status %d after %d executions, want %d after %d", c.name, status, service.Total(), c.status, c.ran)
 		}
@@ -106,7 +106,7 @@
 // Guards against a slow replica that holds up short calls, and against losing
 // attempts that run on.
 func TestHedgedCall(t *testing.T) {
-	document := yardsDocument()
+	document := testDocument()
 	stock := document.Routes["stock"]
 	stock.HedgeAfterMS, stock.FirstTokenTimeoutMS = 20, 60_000
 	document.Routes["stock"] = stock
@@ -114,7 +114,7 @@
 	a, b := startService(t, "stock", "s1", vm), startService(t, "stock", "s2", vm)
 	a.SetFaults(standin.ServiceFaults{Delay: time.Hour})
 	for range 4 {
-		if status, _, body := call(t, "POST", vm.base+"/stock", yardsKey, "body"); status != 200 || body != "body" {
+		if status, _, body := call(t, "POST", vm.base+"/stock", testKey, "body"); status != 200 || body != "body" {
 			t.Fatalf("status %d, body %q", status, body)
 		}
 	}
@@ -131,13 +131,13 @@
 	if err != nil || len(other) != keys.Length {
 		t.Fatal(err, len(other))
 	}
-	document := yardsDocument()
+	document := testDocument()
 	yards := document.Workspaces["yards"]
 	yards.Keys = append(yards.Keys, config.Key{ID: "k2", SHA256: keys.Sum(other).String()})
 	document.Workspaces["yards"] = yards
 	vm := startVM(t, "muc-a", document)
 	service := startService(t, "stock", "s1", vm)
-	for _, key := range []string{yardsKey, other} {
+	for _, key := range []string{testKey, other} {
 		for _, path := range []string{"/stock", "/open"} {
 			sendEverywhere(t, vm.base+path, key)
 		}
@@ -146,7 +146,7 @@
 		t.Fatalf("only %d calls arrived", len(service.Seen()))
 	}
 	for _, seen := range service.Seen() {
-		for _, key := range []string{yardsKey, other} {
+		for _, key := range []string{testKey, other} {
 			for _, form := range []string{key, strings.ToLower(key), base64.StdEncoding.EncodeToString([]byte(key)), base64.StdEncoding.EncodeToString([]byte("user:" + key))} {
 				if strings.Contains(strings.ToLower(seen), strings.ToLower(form)) {
 					t.Errorf("a target saw a key: %.300s", seen)
@@ -156,7 +156,7 @@
 	}
 }
 
-// sendEverywhere sends calls that are authorised by yardsKey and have key in
+// sendEverywhere sends calls that are authorised by testKey and have key in
 // one more place each.
 func sendEverywhere(t *testing.T, base, key string) {
 	t.Helper()
@@ -168,21 +168,21 @@
 		{"Keep-Alive", key}, {"Connection", "X-Hop"}, {"X-Forwarded-Authorization", "Bearer " + key},
 	}
 	for _, h := range headers {
-		call(t, "POST", base, yardsKey, "body", h[0], h[1], "X-Hop", key)
+		call(t, "POST", base, testKey, "body", h[0], h[1], "X-Hop", key)
 	}
 	escaped := strings.ReplaceAll(key, "c", "%63")
 	for _, suffix := range []string{"?key=" + key, "?a=1&" + key + "=1", "?key=" + escaped, "/" + key, "/" + escaped} {
-		call(t, "GET", base+suffix, yardsKey, "")
+		call(t, "GET", base+suffix, testKey, "")
 	}
 	for _, body := range []string{key, `{"api_key":"` + key + `"}`, strings.Repeat("x", 70_000-8) + key + "y", strings.Repeat("x", 1<<16-8) + key} {
-		call(t, "POST", base, yardsKey, body)
+		call(t, "POST", base, testKey, body)
 	}
 	sendTrailer(t, base, key)
 }
 
 func sendTrailer(t *testing.T, base, key string) {
 	req, _ := http.NewRequestWithContext(t.Context(), "POST", base, io.MultiReader(strings.NewReader("body")))
-	req.Header.Set("Authorization", "Bearer "+yardsKey)
+	req.Header.Set("Authorization", "Bearer "+testKey)
 	req.Trailer = http.Header{"X-Trailer": {key}}
 	if resp, err := http.DefaultClient.Do(req); err == nil {
 		resp.Body.Close()
@@ -192,10 +192,10 @@
 // Guards against orders that run again on a resend, a lost answer or a lost
 // connection, and against answers that misstate what happened.
 func TestOrdersRunAtMostOnce(t *testing.T) {
-	vms := startVMs(t, yardsDocument(), "muc-a", "muc-b", "muc-a")
+	vms := startVMs(t, testDocument(), "muc-a", "muc-b", "muc-a")
 	service := startService(t, "orders", "o1", vms...)
 	order := func(vm *testVM, key, body string) (int, string, string) {
-		status, header, answer := call(t, "POST", vm.base+"/orders/buy", yardsKey, body, "Idempotency-Key", key)
+		status, header, answer := call(t, "POST", vm.base+"/orders/buy", testKey, body, "Idempotency-Key", key)
 		return status, header.Get("Cuminwing-Run"), answer
 	}
 	await(t, "control log", func() bool { status, _, _ := order(vms[0], "warm-up", "x"); return status == 200 })
@@ -228,7 +228,7 @@
 
 // Guards against a call that keeps running for a caller who is gone.
 func TestCallerGoneCancelsService(t *testing.T) {
-	vm := startVM(t, "muc-a", yardsDocument())
+	vm := startVM(t, "muc-a", testDocument())
 	service := startService(t, "stock", "s1", vm)
 	service.SetFaults(standin.ServiceFaults{Delay: time.Hour})
 	ctx, cancel := context.WithCancel(t.Context())
@@ -238,6 +238,6 @@
 		}
 		cancel()
 	}()
-	_, _ = send(ctx, "POST", vm.base+"/stock", yardsKey, "body")
+	_, _ = send(ctx, "POST", vm.base+"/stock", testKey, "body")
 	await(t, "cancelled call", func() bool { return service.Gone() == 1 })
 }
--- a/internal/routing/picker_test.go
+++ b/internal/routing/picker_test.go
@@ -194,6 +194,54 @@
 	}
 }
 
+// Guards against herding on reports that are a second old: what other VMs
+// send counts at once, and a later report takes over.
+func TestCountsDispatchesOfOthers(t *testing.T) {
+	b := newBench(t)
+	b.engines(2)
+	first := b.mustPick(nil).Target
+	b.Elsewhere(first.Ref(), time.Second)
+	for range 10 {
+		if pick := b.mustPick(nil); pick.Target.ID == first.ID {
+			t.Fatal("chose the target that another VM loaded")
+		}
+	}
+	b.Elsewhere(target.Ref{ID: "e0", Incarnation: 9}, time.Second)
+	b.now = b.now.Add(2 * time.Second)
+	b.engines(2)
+	used := map[string]bool{}
+	for range 40 {
+		used[b.mustPick(nil).Target.ID] = true
+	}
+	if len(used) != 2 {
+		t.Errorf("only %v is used after the report", used)
+	}
+}
+
+// Guards against imports that take longer than the prefill or come from
+// another region.
+func TestImportsWhereItPays(t *testing.T) {
+	for _, test := range []struct {
+		name          string
+		bytesPerToken int
+		region        string
+		imports       bool
+	}{{"fast", 16 << 10, "r", true}, {"slow", 128 << 10, "r", false}, {"far", 16 << 10, "s", false}} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t)
+			b.snap = config.NewSnapshot(config.Document{Models: map[string]config.Model{"m": {ServingVersion: "v1", KVBytesPerToken: test.bytesPerToken}}}, 1)
+			b.announce(target.Announcement{ID: "e0", BatchSlots: 64, Capabilities: target.Capabilities{KV: true}})
+			store := target.Announcement{ID: "kv", Incarnation: 1, Sequence: 1, Kind: target.KindKVStore, Zone: "a", Region: test.region, URL: "http://store"}
+			b.Registry.Announce(store, b.now)
+			chain := chainOf(1, 10)
+			b.Index.Predict(target.Ref{ID: "kv", Incarnation: 1}, chain[:8], 0)
+			if pick := b.mustPick(chain); (pick.Prefix.KVSource == "http://store") != test.imports {
+				t.Errorf("import from %q, want %v", pick.Prefix.KVSource, test.imports)
+			}
+		})
+	}
+}
+
 type health map[string]time.Duration
 
 func (h health) Usable(ref target.Ref) bool           { return h[ref.ID] >= 0 }
