Compute outlier medians once a second; test at-most-once model requests

Cause: the penalty of one target sorted its whole group, and a routing view asks for 600 of them every 20 ms.

Change: medians are kept for a second. Tests cover at-most-once model routes and the deadline of a stream.

--- a/internal/daemon/services_test.go
+++ b/internal/daemon/services_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/base64"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -241,3 +242,41 @@
 	_, _ = send(ctx, "POST", vm.base+"/stock", testKey, "body")
 	await(t, "cancelled call", func() bool { return service.Gone() == 1 })
 }
+
+// Guards against an at-most-once model request that is resumed, sent to a
+// second engine or run again on a resend.
+func TestModelRequestsAtMostOnce(t *testing.T) {
+	document := testDocument()
+	grade := document.Routes["grade"]
+	grade.Run = config.RunAtMostOnce
+	document.Routes["grade"] = grade
+	vms := startVMs(t, document, "muc-a", "muc-b", "muc-a")
+	engines := []*standin.Engine{startEngine(t, "e1", false, vms...), startEngine(t, "e2", true, vms...)}
+	started := func() int { return engines[0].Started() + engines[1].Started() }
+	grading := func(vm *testVM, key string, stream bool) answer {
+		resp, err := send(t.Context(), "POST", vm.base+"/v1/chat/completions", testKey, chatBody("dossier", 20, stream), "Idempotency-Key", key)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return readAnswer(resp, nil)
+	}
+	await(t, "control log", func() bool { return grading(vms[0], "warm-up", true).whole() })
+	for _, stream := range []bool{true, false} {
+		key := fmt.Sprint("stream ", stream)
+		before := started()
+		first, second := grading(vms[0], key, stream), grading(vms[1], key, stream)
+		if first.status != 200 || second.status != 200 || first.text != second.text || first.body != second.body || started() != before+1 {
+			t.Errorf("stream %t: %+v, then %+v after %d executions", stream, first, second, started()-before)
+		}
+	}
+	for _, e := range engines {
+		e.SetFaults(standin.Faults{CutAfter: 5})
+	}
+	before := started()
+	if got := grading(vms[0], "cut", true); got.done != 0 || got.failed != "target_failed" {
+		t.Errorf("cut stream: %+v", got)
+	}
+	if got := grading(vms[2], "cut", true); got.status != 409 || got.header.Get("Cuminwing-Run") != "unknown" || started() != before+1 {
+		t.Errorf("resend: %+v after %d executions", got, started()-before)
+	}
+}
--- a/internal/daemon/streams_test.go
+++ b/internal/daemon/streams_test.go
@@ -164,3 +164,18 @@
 		t.Errorf("got %+v", got)
 	}
 }
+
+// Guards against streams that run past their deadline or end without an error.
+func TestDeadlineEndsStream(t *testing.T) {
+	document := testDocument()
+	grade := document.Routes["grade"]
+	grade.TimeoutMS = 500
+	document.Routes["grade"] = grade
+	vm := startVM(t, "muc-a", document)
+	engine := startEngine(t, "e1", false, vm)
+	got := ask(t, vm, "dossier", 100000, nil)
+	if got.done != 0 || got.failed != "deadline_exceeded" && got.status != http.StatusGatewayTimeout {
+		t.Errorf("got %d done, status %d and error %q", got.done, got.status, got.failed)
+	}
+	await(t, "end of the engine's work", func() bool { return engine.Running() == 0 })
+}
--- a/internal/retry/health.go
+++ b/internal/retry/health.go
@@ -32,6 +32,8 @@
 	// minSamples and minPeers are needed before a target is judged by speed.
 	minSamples = 10
 	minPeers   = 3
+	// medianAge bounds how old the median of the peers may be.
+	medianAge = time.Second
 	// smoothing is the weight of a new sample in the moving average.
 	smoothing = 0.1
 	// forgetAfter drops targets that got no work for long.
@@ -47,6 +49,9 @@
 	mu      sync.Mutex
 	targets map[string]*state
 	swept   time.Time
+	// medians of the time to first token by group, as of mediansAt.
+	medians   map[string]time.Duration
+	mediansAt time.Time
 }
 
 // state is what is known of one target.
@@ -101,23 +106,38 @@
 	if s.samples < minSamples {
 		return 0
 	}
-	var peers []time.Duration
-	for _, other := range h.targets {
-		if other != s && other.group == s.group && other.samples >= minSamples {
-			peers = append(peers, other.average)
-		}
-	}
-	if len(peers) < minPeers {
-		return 0
-	}
-	slices.Sort(peers)
-	median := peers[len(peers)/2]
-	if s.average < outlierFactor*median || s.average-median < minOutlier {
+	h.refreshMedians()
+	median, known := h.medians[s.group]
+	if !known || s.average < outlierFactor*median || s.average-median < minOutlier {
 		return 0
 	}
 	return s.average - median
 }
 
+// refreshMedians computes the median of each group once in a while: routing
+// asks for the penalty of every target many times a second.
+func (h *Health) refreshMedians() {
+	now := h.clock()
+	if h.medians != nil && now.Sub(h.mediansAt) < medianAge {
+		return
+	}
+	h.mediansAt = now
+	averages := make(map[string][]time.Duration)
+	for _, s := range h.targets {
+		if s.samples >= minSamples {
+			averages[s.group] = append(averages[s.group], s.average)
+		}
+	}
+	h.medians = make(map[string]time.Duration)
+	for group, list := range averages {
+		if len(list) <= minPeers {
+			continue
+		}
+		slices.Sort(list)
+		h.medians[group] = list[len(list)/2]
+	}
+}
+
 // Begin notes that a request goes to t.
 func (h *Health) Begin(t *target.Target) {
 	h.mu.Lock()
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strconv"
 	"testing"
 	"time"
 
@@ -133,3 +134,24 @@
 		t.Errorf("penalty of a usual target: %s", p)
 	}
 }
+
+// BenchmarkPenalty measures what routing asks for every target of a view. At
+// 600 targets a view is rebuilt every 20 ms.
+func BenchmarkPenalty(b *testing.B) {
+	const targets = 600
+	h := NewHealth(time.Now)
+	all := make([]*target.Target, targets)
+	for i := range all {
+		all[i] = engine(strconv.Itoa(i), 1)
+		for range minSamples {
+			attempt(h, all[i], nil, 100*time.Millisecond)
+		}
+	}
+	for b.Loop() {
+		for _, t := range all {
+			if h.Usable(t.Ref()) {
+				h.Penalty(t.Ref())
+			}
+		}
+	}
+}
