Answer faults of a caller's streamed body as such

A body that grows past the limit or holds a key while it is streamed was answered 502 and counted against the target; it now gets 413 or 400, and the breaker of the target does not see it.

--- a/internal/adapter/callerhttp/decode.go
+++ b/internal/adapter/callerhttp/decode.go
@@ -54,14 +54,22 @@
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	// The server goes on reading to notice that the caller is gone.
 	_ = control.SetReadDeadline(time.Time{})
+	if err != nil {
+		return nil, bodyRefusal(err)
+	}
+	return body, nil
+}
+
+// bodyRefusal says why a body could not be read.
+func bodyRefusal(err error) *serving.Refusal {
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return nil, errBodyTooLarge
-	case err != nil:
-		return nil, refuse(http.StatusBadRequest, "bad_body", "the body could not be read")
+		return errBodyTooLarge
+	case errors.Is(err, errKeyInStream):
+		return errKeyInBody
 	}
-	return body, nil
+	return refuse(http.StatusBadRequest, "bad_body", "the body could not be read")
 }
 
 func (s *Server) decode(w http.ResponseWriter, r *http.Request, snap *config.Snapshot, id identity) (*serving.Call, bool, *serving.Refusal) {
--- a/internal/adapter/callerhttp/service.go
+++ b/internal/adapter/callerhttp/service.go
@@ -133,7 +133,7 @@
 	limited := http.MaxBytesReader(w, r.Body, call.Snapshot.Document.Limits.MaxBodyBytes)
 	head, err := io.ReadAll(io.LimitReader(limited, replayBytes))
 	if err != nil {
-		return req, refuse(http.StatusBadRequest, "bad_body", "the body could not be read")
+		return req, bodyRefusal(err)
 	}
 	if scrub.inBody(head) {
 		return req, errKeyInBody
@@ -146,11 +146,24 @@
 		return req, nil
 	}
 	req.ContentLength = r.ContentLength
-	rest := scrub.guard(io.MultiReader(bytes.NewReader(head), limited))
+	rest := refusingReader{scrub.guard(io.MultiReader(bytes.NewReader(head), limited))}
 	req.Body = func() io.Reader { return rest }
 	return req, nil
 }
 
+// refusingReader turns faults of the caller's body into refusals, so that they
+// are not taken for faults of the target.
+type refusingReader struct{ in io.Reader }
+
+// Read implements io.Reader.
+func (r refusingReader) Read(p []byte) (int, error) {
+	n, err := r.in.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		err = bodyRefusal(err)
+	}
+	return n, err
+}
+
 // serviceSink passes the answer of a service on as it arrives.
 type serviceSink struct {
 	w       http.ResponseWriter
--- a/internal/daemon/services_test.go
+++ b/internal/daemon/services_test.go
@@ -104,6 +104,35 @@
 	}
 }
 
+// Guards against faults of a caller's streamed body that are blamed on the
+// target or repeated.
+func TestFaultyStreamedBodies(t *testing.T) {
+	document := testDocument()
+	document.Limits.MaxBodyBytes = 200_000
+	vm := startVM(t, "muc-a", document)
+	service := startService(t, "stock", "s1", vm)
+	filler := strings.Repeat("x", 100_000)
+	for body, want := range map[string]int{filler: 200, filler + filler + filler: 413, filler + testKey: 400} {
+		// A reader of unknown length is sent in chunks.
+		req, err := http.NewRequestWithContext(t.Context(), "POST", vm.base+"/stock", io.MultiReader(strings.NewReader(body)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Authorization", "Bearer "+testKey)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != want {
+			t.Errorf("%d bytes: status %d, want %d", len(body), resp.StatusCode, want)
+		}
+	}
+	if service.Total() != 1 {
+		t.Errorf("%d calls ran whole", service.Total())
+	}
+}
+
 // Guards against a slow replica that holds up short calls, and against losing
 // attempts that run on.
 func TestHedgedCall(t *testing.T) {
--- a/internal/retry/health.go
+++ b/internal/retry/health.go
@@ -234,9 +234,13 @@
 
 func judge(err error) verdict {
 	var status *serving.StatusError
+	var refusal *serving.Refusal
 	switch {
 	case err == nil:
 		return good
+	case errors.As(err, &refusal):
+		// The body of the caller was at fault.
+		return nothing
 	case errors.Is(err, serving.ErrAbandoned), errors.Is(err, context.Canceled):
 		return nothing
 	case errors.Is(err, serving.ErrCallerGone), errors.Is(err, context.DeadlineExceeded):
--- a/internal/serving/refusal.go
+++ b/internal/serving/refusal.go
@@ -40,6 +40,10 @@
 
 // targetRefusal maps the last error of a target to the caller's answer.
 func targetRefusal(err error, state RunState) *Refusal {
+	// The body of the caller may have ended the attempt.
+	if refusal := new(Refusal); errors.As(err, &refusal) {
+		return withState(refusal, state)
+	}
 	var status *StatusError
 	if errors.As(err, &status) {
 		return statusRefusal(status, state)
