Fill KV stores with prefixes that are reused

Cause: the picker imported what a KV store announced, but nothing put blocks there.

Conclusion: a prefix that one engine computed reaches another engine through the store.

--- a/internal/adapter/targethttp/cache.go
+++ b/internal/adapter/targethttp/cache.go
@@ -1,6 +1,7 @@
 package targethttp
 
 import (
+	"bytes"
 	"context"
 	"encoding/hex"
 	"encoding/json"
@@ -90,6 +91,40 @@
 	return answer, err
 }
 
+// KVTransfer is the body of KV export and import. An export answers with the
+// leading blocks that the target holds; on an import the target fetches them
+// from Source by an export and answers with what it then holds.
+type KVTransfer struct {
+	// Scope separates workspaces, weights and adapters.
+	Scope string `json:"scope"`
+	// Blocks is the chain.
+	Blocks []prefix.Hash `json:"blocks"`
+	// Source is the base URL to import from.
+	Source string `json:"source,omitempty"`
+}
+
+// Import asks the target at base to take blocks over from source.
+func (c *CacheReader) Import(ctx context.Context, base, source string, scope prefix.ScopeDigest, blocks []prefix.Hash) error {
+	body, err := json.Marshal(KVTransfer{Scope: hex.EncodeToString(scope[:]), Blocks: blocks, Source: source})
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, base+KVImportPath, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return statusError(resp)
+	}
+	return nil
+}
+
 func (c *CacheReader) get(ctx context.Context, url string, answer any) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
--- a/internal/daemon/routing.go
+++ b/internal/daemon/routing.go
@@ -8,9 +8,12 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/cuminwing/cuminwing/internal/adapter/targethttp"
 	"github.com/cuminwing/cuminwing/internal/membership"
 	"github.com/cuminwing/cuminwing/internal/prefix"
+	"github.com/cuminwing/cuminwing/internal/ring"
 	"github.com/cuminwing/cuminwing/internal/routing"
 	"github.com/cuminwing/cuminwing/internal/target"
 	indexv1 "github.com/cuminwing/cuminwing/proto/index/v1"
@@ -23,6 +26,8 @@
 	// maxWaitingNews bounds the dispatches and load reports that wait for one
 	// peer; more are dropped, because newer reports and cache events follow.
 	maxWaitingNews = 256
+	// maxWaitingExports bounds the copies to KV stores that wait.
+	maxWaitingExports = 64
 	// newsBytes is about the size of one publication with its HTTP headers.
 	// Telling all peers stops at newsBytesPerSecond, which is two thirds of
 	// the control cost per VM at the design size; the owner of the chain is
@@ -40,6 +45,7 @@
 	cache   *targethttp.CacheReader
 	picker  *routing.Picker
 	intents *prefix.Intents
+	exports *ring.Ring[routing.Export]
 	// lookupTimeout bounds the wait for the owner of a chain.
 	lookupTimeout time.Duration
 	// peers is who owns which chains and how to reach them.
@@ -69,6 +75,7 @@
 func (n *Node) newPicker() *routing.Picker {
 	r := &routingDuty{
 		intents:       prefix.NewIntents(),
+		exports:       ring.New[routing.Export](maxWaitingExports),
 		lookupTimeout: lookupTimeout,
 		node:          n,
 		members:       n.members,
@@ -86,6 +93,7 @@
 		Index:      r.index,
 		Remote:     r,
 		Dispatched: r.dispatched,
+		Export:     func(e routing.Export) { r.exports.Push(e) },
 		Zone:       n.settings.Zone,
 		Region:     n.settings.Region,
 	}
@@ -102,9 +110,23 @@
 		every(ctx, routingInterval, func() { r.divide(ctx) })
 		r.done.Wait()
 	})
+	n.duty(r.fillStores)
 	return nil
 }
 
+// fillStores copies reused blocks to KV stores, one chain at a time.
+func (r *routingDuty) fillStores(ctx context.Context) {
+	for {
+		e, ok := r.exports.Pop(ctx)
+		if !ok {
+			return
+		}
+		if err := r.cache.Import(ctx, e.Store.URL, e.Source.URL, e.Scope, e.Blocks); err != nil && ctx.Err() == nil {
+			r.node.logger.Debug("copy to KV store failed", zap.String("store", e.Store.ID), zap.Error(err))
+		}
+	}
+}
+
 // divide follows changes of the membership and of the registry.
 func (r *routingDuty) divide(ctx context.Context) {
 	changed := r.followMembers(ctx)
--- a/internal/daemon/routing_test.go
+++ b/internal/daemon/routing_test.go
@@ -27,11 +27,15 @@
 	picker *routing.Picker
 }
 
-func startRoutingVMs(t *testing.T, n int) []routingVM {
+func startRoutingVMs(t testing.TB, n int) []routingVM {
 	t.Helper()
 	vms := make([]routingVM, n)
 	for i := range vms {
+		// The last VM is in another zone than the targets.
 		s := settings.Settings{VM: fmt.Sprint("vm-", i), Zone: "a", Region: "r", Slot: i}
+		if i > 0 && i == n-1 {
+			s.Zone = "b"
+		}
 		for _, a := range []*string{&s.TargetAddress, &s.PeerAddress, &s.AdminAddress} {
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
@@ -87,7 +91,7 @@
 }
 
 func promptCall(workspace, prompt string) *serving.Call {
-	doc := config.Document{Models: map[string]config.Model{"m": {ServingVersion: "v1", BlockTokens: 10}}}
+	doc := config.Document{Models: map[string]config.Model{"m": {ServingVersion: "v1", BlockTokens: 10, KVBytesPerToken: 1000}}}
 	call := &serving.Call{ID: "r", Workspace: workspace, Model: "m", Version: "v1", Snapshot: config.NewSnapshot(doc, 1)}
 	call.Route.FirstTokenTimeoutMS, call.Route.TokenGapTimeoutMS = 5000, 5000
 	call.Path, call.Prompt = "/v1/completions", prompt
@@ -143,6 +147,29 @@
 	await(t, "the other VMs own all prompts", func() bool { return sharedBy(vms[:2], want) })
 }
 
+// Guards the way of a reused prefix through a KV store to an engine that has
+// never seen it.
+func TestReusedPrefixReachesOtherEngine(t *testing.T) {
+	vms := startRoutingVMs(t, 1)
+	cache := standin.CacheOptions{Blocks: 100, BlockTokens: 10}
+	startCachingEngine(t, vms, "e0", cache)
+	startCachingEngine(t, vms, "e1", cache)
+	cache.KVStore = true
+	startCachingEngine(t, vms, "kv", cache)
+	await(t, "targets announced", func() bool { return len(vms[0].registry.All()) == 3 })
+	call := promptCall("w", prompt(1))
+	// A slow prefill keeps the second request from going elsewhere.
+	slow := config.Model{ServingVersion: "v1", BlockTokens: 10, KVBytesPerToken: 1000, PrefillTokensPerSecond: 100}
+	call.Snapshot = config.NewSnapshot(config.Document{Models: map[string]config.Model{"m": slow}}, 1)
+	first, _ := sendCall(t, vms[0], call)
+	sendCall(t, vms[0], call)
+	await(t, "the store holds the prompt", func() bool { return sharedBy(vms, map[int]string{1: "kv"}) })
+	vms[0].registry.Drain(first, true)
+	if id, cached := sendCall(t, vms[0], call); id == first || cached != 50 {
+		t.Errorf("engine %s reused %d tokens, want 50 at the other engine", id, cached)
+	}
+}
+
 func prompt(i int) string { return strings.Repeat(fmt.Sprintf("%04d", i), 50) }
 
 // sharedBy reports whether each VM finds every prompt at its engine.
@@ -162,3 +189,32 @@
 	}
 	return true
 }
+
+// BenchmarkLookup asks another VM about a prompt of 100 blocks that 20 targets
+// hold.
+func BenchmarkLookup(b *testing.B) {
+	vms := startRoutingVMs(b, 2)
+	var chain []prefix.Hash
+	for i := range uint64(100) {
+		chain = append(chain, prefix.Hash(i*0x9e3779b97f4a7c15+1))
+	}
+	owner := vms[0].routing.peers.Load().owners.Owner(chain[0])
+	from, to := vms[0], vms[1]
+	if owner == "vm-0" {
+		from, to = vms[1], vms[0]
+	}
+	for i := range 20 {
+		to.routing.index.Predict(target.Ref{ID: fmt.Sprint("e", i), Incarnation: 1}, chain, 0)
+	}
+	var took []time.Duration
+	for b.Loop() {
+		start := time.Now()
+		if _, ok := from.routing.Lookup(context.Background(), chain); !ok {
+			b.Fatal("the owner did not answer")
+		}
+		took = append(took, time.Since(start))
+	}
+	slices.Sort(took)
+	b.ReportMetric(float64(took[len(took)/2].Microseconds()), "p50-us")
+	b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-us")
+}
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -46,6 +46,8 @@
 	// Dispatched tells the other VMs of a choice; may be nil. It must not
 	// block.
 	Dispatched func(d Dispatch)
+	// Export copies blocks to a KV store; may be nil. It must not block.
+	Export func(e Export)
 	// Zone and Region are where this VM runs.
 	Zone, Region string
 
@@ -59,6 +61,7 @@
 	link   linkBudget
 	hold   time.Duration
 	recent recentChoices
+	kv     exports
 }
 
 // Dispatch is a choice that a VM made.
@@ -186,10 +189,6 @@
 	return q
 }
 
-// kvBytesPerSecond is the assumed throughput between a KV store and an engine
-// of its region, 10 Gbit/s.
-const kvBytesPerSecond = 1.25e9
-
 // placeRemote spreads the owner's answer over the candidates at home. What
 // this VM chose in the last moments is added, because the owner may not have
 // heard of it.
@@ -208,24 +207,6 @@
 	})
 }
 
-func (p *Picker) findStore(q *query, holdings []prefix.Holding) {
-	if q.kvBlock >= q.block {
-		return
-	}
-	for i := range q.group.stores {
-		s := &q.group.stores[i]
-		blocks := matched(&p.match, s)
-		for _, h := range holdings {
-			if h.Ref == s.target.Ref() {
-				blocks = max(blocks, h.Blocks)
-			}
-		}
-		if blocks > q.stored {
-			q.stored, q.store = blocks, s
-		}
-	}
-}
-
 // commit books the choice.
 func (p *Picker) commit(q *query, c *choice, hint serving.PrefixHint) *serving.Pick {
 	ref := c.target.Ref()
@@ -244,6 +225,7 @@
 	if c.imports {
 		hint.KVSource = q.store.target.URL
 	}
+	p.export(q, c, hint.Scope)
 	blockTokens := call.Snapshot.Document.Models[call.Model].BlockTokens
 	expected := min(c.blocks*blockTokens, call.PromptTokens)
 	var once sync.Once
--- a/internal/routing/picker_test.go
+++ b/internal/routing/picker_test.go
@@ -218,8 +218,33 @@
 	}
 }
 
+// Guards against a report that counts for good after reports stopped coming,
+// and against ignoring reports that another VM passed on.
+func TestReportsOfOtherZones(t *testing.T) {
+	b := newBench(t)
+	b.engines(2)
+	b.mustPick(nil)
+	busy := target.Ref{ID: "e0", Incarnation: 1}
+	b.Report(busy, target.Load{Running: 64, Waiting: 64}, b.snap)
+	for range 20 {
+		if pick := b.mustPick(nil); pick.Target.ID == "e0" {
+			t.Fatal("chose the target with full batch slots")
+		}
+	}
+	summary := b.Registry.Summarize("a", b.now)
+	b.now = b.now.Add(reportLife + time.Millisecond)
+	b.Registry.ApplySummary("a", summary, b.now)
+	used := map[string]bool{}
+	for range 40 {
+		used[b.mustPick(nil).Target.ID] = true
+	}
+	if !used["e0"] {
+		t.Error("an old report still counts")
+	}
+}
+
 // Guards against imports that take longer than the prefill or come from
-// another region.
+// another region, and against a store that nothing fills.
 func TestImportsWhereItPays(t *testing.T) {
 	for _, test := range []struct {
 		name          string
@@ -235,6 +260,17 @@
 			b.Registry.Announce(store, b.now)
 			chain := chainOf(1, 10)
 			b.Index.Predict(target.Ref{ID: "kv", Incarnation: 1}, chain[:8], 0)
+			var exported []prefix.Hash
+			b.Export = func(e Export) { exported = e.Blocks }
+			defer func() {
+				if b.mustPick(chain); (len(exported) == len(chain)) != test.imports {
+					t.Errorf("exported %d blocks of a reused chain", len(exported))
+				}
+				exported = nil
+				if b.mustPick(chain); exported != nil {
+					t.Error("exported again at once")
+				}
+			}()
 			if pick := b.mustPick(chain); (pick.Prefix.KVSource == "http://store") != test.imports {
 				t.Errorf("import from %q, want %v", pick.Prefix.KVSource, test.imports)
 			}
--- a/internal/standin/cache_test.go
+++ b/internal/standin/cache_test.go
@@ -115,7 +115,7 @@
 	store := startCaching(t, cache)
 	chain := chainOf(1, 4)
 	complete(t, first, "s", "", chain[:3])
-	body, _ := json.Marshal(KVTransfer{Scope: "s", Blocks: chain, Source: first.URL()})
+	body, _ := json.Marshal(targethttp.KVTransfer{Scope: "s", Blocks: chain, Source: first.URL()})
 	resp, err := http.Post(store.URL()+targethttp.KVImportPath, "application/json", strings.NewReader(string(body)))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/standin/kv.go
+++ b/internal/standin/kv.go
@@ -13,17 +13,6 @@
 	"github.com/cuminwing/cuminwing/internal/target"
 )
 
-// KVTransfer is the body of KV export and import. An export answers with the
-// leading blocks that are held; an import fetches them from another target.
-type KVTransfer struct {
-	// Scope separates workspaces and weights.
-	Scope string `json:"scope"`
-	// Blocks is the chain.
-	Blocks []prefix.Hash `json:"blocks"`
-	// Source is the base URL to import from.
-	Source string `json:"source,omitempty"`
-}
-
 // kvEngine is the part of a stand-in that prefills, queues and caches.
 type kvEngine struct {
 	incarnation uint64
@@ -112,7 +101,7 @@
 
 // fetch imports leading blocks from another target and returns their number.
 func (k *kvEngine) fetch(ctx context.Context, source, scope string, chain []prefix.Hash) int {
-	body, err := json.Marshal(KVTransfer{Scope: scope, Blocks: chain})
+	body, err := json.Marshal(targethttp.KVTransfer{Scope: scope, Blocks: chain})
 	if err != nil {
 		return 0
 	}
@@ -125,7 +114,7 @@
 		return 0
 	}
 	defer resp.Body.Close()
-	var answer KVTransfer
+	var answer targethttp.KVTransfer
 	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&answer) != nil {
 		return 0
 	}
@@ -138,7 +127,7 @@
 }
 
 func (k *kvEngine) serveExport(w http.ResponseWriter, r *http.Request) {
-	var req KVTransfer
+	var req targethttp.KVTransfer
 	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -148,7 +137,7 @@
 }
 
 func (k *kvEngine) serveImport(w http.ResponseWriter, r *http.Request) {
-	var req KVTransfer
+	var req targethttp.KVTransfer
 	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
