--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -23,6 +24,7 @@
 	"github.com/cuminwing/cuminwing/internal/control"
 	"github.com/cuminwing/cuminwing/internal/keys"
 	"github.com/cuminwing/cuminwing/internal/membership"
+	"github.com/cuminwing/cuminwing/internal/orders"
 	"github.com/cuminwing/cuminwing/internal/serving"
 	"github.com/cuminwing/cuminwing/internal/settings"
 	"github.com/cuminwing/cuminwing/internal/target"
@@ -62,10 +64,13 @@
 	registry  *target.Registry
 	gossip    *gossip.Conn
 	ledger    *usage.Ledger
+	orders    *orders.Part
 	callers   *callerhttp.Server
 
 	distribution *distribution
 	withdrawals  *withdrawals
+	// seenVoters holds the voters that have been members, by name.
+	seenVoters sync.Map
 	// routing shares the index of cached blocks.
 	routing *routingDuty
 
@@ -82,12 +87,16 @@
 	peerMux    *http.ServeMux
 	adminMux   *http.ServeMux
 	peerClient *http.Client
+	// peerTLS is nil if VMs speak to each other in clear text.
+	peerTLS *tls.Config
 
-	ctx      context.Context
-	cancel   context.CancelFunc
-	duties   sync.WaitGroup
-	servers  []*http.Server
-	draining atomic.Bool
+	ctx     context.Context
+	cancel  context.CancelFunc
+	duties  sync.WaitGroup
+	servers []*http.Server
+	// callerServer is the one of servers that callers use.
+	callerServer *http.Server
+	draining     atomic.Bool
 }
 
 // Start binds the listeners of a VM and starts its duties.
@@ -96,14 +105,17 @@
 	steps := []func() error{
 		n.startWithdrawals,
 		n.startConfig,
+		n.startPeerTLS,
 		n.startMembership,
 		n.startTargets,
 		n.startRates,
 		n.startObserver,
 		n.startUsage,
+		n.startOrders,
 		n.startServing,
 		n.startControl,
 		n.startUsageFlush,
+		n.startOrdering,
 		n.startStatus,
 		n.startAdmin,
 		n.startPeers,
@@ -227,35 +239,33 @@
 	return nil
 }
 
-// drainPoll is how often Shutdown looks at the running requests.
+// drainPoll is how often a shutdown looks whether a duty has finished.
 const drainPoll = 20 * time.Millisecond
 
-// Shutdown turns readiness off, waits until the running requests have ended
-// or ctx ends, and stops the VM.
+// lameDuck is how long a VM that shuts down goes on accepting connections, so
+// that load balancers see that it is not ready before it refuses any.
+const lameDuck = time.Second
+
+// Shutdown turns readiness off, goes on serving until load balancers have
+// noticed, waits until the running requests have ended or ctx ends, and stops
+// the VM.
 func (n *Node) Shutdown(ctx context.Context) error {
 	n.draining.Store(true)
 	n.logger.Info("VM is shutting down", zap.Int64("running_requests", n.callers.Active()))
 	n.leaveMembership()
-	err := n.waitIdle(ctx)
+	select {
+	case <-ctx.Done():
+	case <-time.After(lameDuck):
+	}
+	// Waits for connections, not only for handlers: the end of an answer is
+	// still on its way when its handler has returned.
+	err := n.callerServer.Shutdown(ctx)
 	n.flushLastUsage()
 	n.leaveControl()
 	n.Close()
 	return err
 }
 
-func (n *Node) waitIdle(ctx context.Context) error {
-	ticker := time.NewTicker(drainPoll)
-	defer ticker.Stop()
-	for n.callers.Active() > 0 {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
-	}
-	return nil
-}
-
 // Close stops the VM at once, as a crash would.
 func (n *Node) Close() {
 	n.cancel()
--- a/internal/daemon/services_test.go
+++ b/internal/daemon/services_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/base64"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -103,6 +104,35 @@
 	}
 }
 
+// Guards against faults of a caller's streamed body that are blamed on the
+// target or repeated.
+func TestFaultyStreamedBodies(t *testing.T) {
+	document := testDocument()
+	document.Limits.MaxBodyBytes = 200_000
+	vm := startVM(t, "muc-a", document)
+	service := startService(t, "stock", "s1", vm)
+	filler := strings.Repeat("x", 100_000)
+	for body, want := range map[string]int{filler: 200, filler + filler + filler: 413, filler + testKey: 400} {
+		// A reader of unknown length is sent in chunks.
+		req, err := http.NewRequestWithContext(t.Context(), "POST", vm.base+"/stock", io.MultiReader(strings.NewReader(body)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Authorization", "Bearer "+testKey)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != want {
+			t.Errorf("%d bytes: status %d, want %d", len(body), resp.StatusCode, want)
+		}
+	}
+	if service.Total() != 1 {
+		t.Errorf("%d calls ran whole", service.Total())
+	}
+}
+
 // Guards against a slow replica that holds up short calls, and against losing
 // attempts that run on.
 func TestHedgedCall(t *testing.T) {
@@ -241,3 +271,41 @@
 	_, _ = send(ctx, "POST", vm.base+"/stock", testKey, "body")
 	await(t, "cancelled call", func() bool { return service.Gone() == 1 })
 }
+
+// Guards against an at-most-once model request that is resumed, sent to a
+// second engine or run again on a resend.
+func TestModelRequestsAtMostOnce(t *testing.T) {
+	document := testDocument()
+	grade := document.Routes["grade"]
+	grade.Run = config.RunAtMostOnce
+	document.Routes["grade"] = grade
+	vms := startVMs(t, document, "muc-a", "muc-b", "muc-a")
+	engines := []*standin.Engine{startEngine(t, "e1", false, vms...), startEngine(t, "e2", true, vms...)}
+	started := func() int { return engines[0].Started() + engines[1].Started() }
+	grading := func(vm *testVM, key string, stream bool) answer {
+		resp, err := send(t.Context(), "POST", vm.base+"/v1/chat/completions", testKey, chatBody("dossier", 20, stream), "Idempotency-Key", key)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return readAnswer(resp, nil)
+	}
+	await(t, "control log", func() bool { return grading(vms[0], "warm-up", true).whole() })
+	for _, stream := range []bool{true, false} {
+		key := fmt.Sprint("stream ", stream)
+		before := started()
+		first, second := grading(vms[0], key, stream), grading(vms[1], key, stream)
+		if first.status != 200 || second.status != 200 || first.text != second.text || first.body != second.body || started() != before+1 {
+			t.Errorf("stream %t: %+v, then %+v after %d executions", stream, first, second, started()-before)
+		}
+	}
+	for _, e := range engines {
+		e.SetFaults(standin.Faults{CutAfter: 5})
+	}
+	before := started()
+	if got := grading(vms[0], "cut", true); got.done != 0 || got.failed != "target_failed" {
+		t.Errorf("cut stream: %+v", got)
+	}
+	if got := grading(vms[2], "cut", true); got.status != 409 || got.header.Get("Cuminwing-Run") != "unknown" || started() != before+1 {
+		t.Errorf("resend: %+v after %d executions", got, started()-before)
+	}
+}
--- a/internal/routing/picker_test.go
+++ b/internal/routing/picker_test.go
@@ -218,8 +218,33 @@
 	}
 }
 
+// Guards against a report that counts for good after reports stopped coming,
+// and against ignoring reports that another VM passed on.
+func TestReportsOfOtherZones(t *testing.T) {
+	b := newBench(t)
+	b.engines(2)
+	b.mustPick(nil)
+	busy := target.Ref{ID: "e0", Incarnation: 1}
+	b.Report(busy, target.Load{Running: 64, Waiting: 64}, b.snap)
+	for range 20 {
+		if pick := b.mustPick(nil); pick.Target.ID == "e0" {
+			t.Fatal("chose the target with full batch slots")
+		}
+	}
+	summary := b.Registry.Summarize("a", b.now)
+	b.now = b.now.Add(reportLife + time.Millisecond)
+	b.Registry.ApplySummary("a", summary, b.now)
+	used := map[string]bool{}
+	for range 40 {
+		used[b.mustPick(nil).Target.ID] = true
+	}
+	if !used["e0"] {
+		t.Error("an old report still counts")
+	}
+}
+
 // Guards against imports that take longer than the prefill or come from
-// another region.
+// another region, and against a store that nothing fills.
 func TestImportsWhereItPays(t *testing.T) {
 	for _, test := range []struct {
 		name          string
@@ -235,6 +260,17 @@
 			b.Registry.Announce(store, b.now)
 			chain := chainOf(1, 10)
 			b.Index.Predict(target.Ref{ID: "kv", Incarnation: 1}, chain[:8], 0)
+			var exported []prefix.Hash
+			b.Export = func(e Export) { exported = e.Blocks }
+			defer func() {
+				if b.mustPick(chain); (len(exported) == len(chain)) != test.imports {
+					t.Errorf("exported %d blocks of a reused chain", len(exported))
+				}
+				exported = nil
+				if b.mustPick(chain); exported != nil {
+					t.Error("exported again at once")
+				}
+			}()
 			if pick := b.mustPick(chain); (pick.Prefix.KVSource == "http://store") != test.imports {
 				t.Errorf("import from %q, want %v", pick.Prefix.KVSource, test.imports)
 			}
@@ -280,6 +316,23 @@
 	}
 }
 
+// Guards against a chain that is sought at a target that failed to compute it.
+func TestTakesFailedDispatchBack(t *testing.T) {
+	b := newBench(t)
+	b.engines(2)
+	var told []Dispatch
+	b.Dispatched = func(d Dispatch) { told = append(told, d) }
+	chain := chainOf(1, 10)
+	pick := b.mustPick(chain)
+	pick.Done(serving.AttemptResult{Err: context.DeadlineExceeded})
+	if got := b.Index.Longest(chain); got != 0 {
+		t.Errorf("%d blocks are expected after the failure", got)
+	}
+	if len(told) != 2 || told[0].Failed || !told[1].Failed || told[1].Ref != pick.Target.Ref() {
+		t.Errorf("other VMs were told %v", told)
+	}
+}
+
 // Guards against stale entries that outlive what the engine says.
 func TestLearnsFromEngine(t *testing.T) {
 	b := newBench(t)
