--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sort"
+	"time"
 
 	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
@@ -15,11 +16,10 @@
 	statusv1 "github.com/cuminwing/cuminwing/proto/status/v1"
 )
 
-// startAdmin serves operators' tools.
+// startAdmin serves operators' tools, and other VMs that forward their calls.
 func (n *Node) startAdmin() error {
 	service := adminv1.NewAdminServiceServer(adminServer{n})
 	n.adminMux.Handle(service.PathPrefix(), service)
-	// Drains are forwarded between VMs, where the peer listener has TLS.
 	n.peerMux.Handle(service.PathPrefix(), service)
 	return nil
 }
@@ -41,8 +41,14 @@
 	return s.node.distribution.applyEdit(ctx, req.GetEdit())
 }
 
-// History implements adminv1.AdminService.
-func (s adminServer) History(_ context.Context, req *adminv1.HistoryRequest) (*adminv1.HistoryResponse, error) {
+// History implements adminv1.AdminService. Voters have the whole history; other
+// VMs only what they have seen, so they ask a voter first.
+func (s adminServer) History(ctx context.Context, req *adminv1.HistoryRequest) (*adminv1.HistoryResponse, error) {
+	if !s.node.followsLog() && !req.GetForwarded() {
+		if answer, ok := s.historyOfVoter(ctx, req.GetLimit()); ok {
+			return answer, nil
+		}
+	}
 	history := s.node.distribution.state.Load().History()
 	count := len(history)
 	if limit := int(req.GetLimit()); limit > 0 {
@@ -55,6 +61,18 @@
 	return &adminv1.HistoryResponse{Changes: changes}, nil
 }
 
+func (s adminServer) historyOfVoter(ctx context.Context, limit uint32) (*adminv1.HistoryResponse, bool) {
+	ctx, cancel := context.WithTimeout(ctx, hintTimeout)
+	defer cancel()
+	for _, p := range s.node.distribution.votersByDistance() {
+		answer, err := s.forwardTo(p).History(ctx, &adminv1.HistoryRequest{Limit: limit, Forwarded: true})
+		if err == nil {
+			return answer, true
+		}
+	}
+	return nil, false
+}
+
 // WithdrawKeys implements adminv1.AdminService.
 func (s adminServer) WithdrawKeys(ctx context.Context, req *adminv1.WithdrawKeysRequest) (*adminv1.WithdrawKeysResponse, error) {
 	hashes, err := keyset.FromBytes(req.GetHashes())
@@ -208,27 +226,59 @@
 	return response, nil
 }
 
-// DrainTarget implements adminv1.AdminService. A drain lives in the memory of
-// all VMs: one that restarts learns of it from the others.
+// DrainTarget implements adminv1.AdminService. Membership spreads the decision;
+// a forwarded call only waits for it. If each VM decided for itself, a late call
+// could undo a newer decision. A VM that restarts learns of drains from the
+// others.
 func (s adminServer) DrainTarget(ctx context.Context, req *adminv1.DrainTargetRequest) (*adminv1.DrainTargetResponse, error) {
-	if _, known := s.node.registry.Get(req.GetId()); !known && !req.GetForwarded() {
+	if req.GetForwarded() {
+		return &adminv1.DrainTargetResponse{}, s.awaitDrain(ctx, req)
+	}
+	if _, known := s.node.registry.Get(req.GetId()); !known {
 		return nil, twirp.NotFoundError("this VM knows no target " + req.GetId())
 	}
 	s.node.registry.Drain(req.GetId(), !req.GetResume())
 	s.node.logger.Info("target drained by an operator", zap.String("target", req.GetId()), zap.Bool("resume", req.GetResume()))
-	if req.GetForwarded() {
-		return &adminv1.DrainTargetResponse{}, nil
-	}
 	return &adminv1.DrainTargetResponse{Zones: s.forwardDrain(ctx, req)}, nil
 }
 
+// awaitDrain returns once the decision has arrived here.
+func (s adminServer) awaitDrain(ctx context.Context, req *adminv1.DrainTargetRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
+	defer cancel()
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for !s.drainIs(req.GetId(), !req.GetResume()) {
+		select {
+		case <-ctx.Done():
+			return twirp.NewError(twirp.DeadlineExceeded, "the decision has not arrived here")
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+// drainIs reports whether the decision about a target is known here. A target
+// without a decision is in service.
+func (s adminServer) drainIs(id string, drained bool) bool {
+	for _, d := range s.node.registry.Drains() {
+		if d.ID == id {
+			return d.Drained == drained
+		}
+	}
+	return !drained
+}
+
+func (s adminServer) forwardTo(p peer) adminv1.AdminService {
+	return adminv1.NewAdminServiceProtobufClient(s.node.peerURL(p.address), s.node.peerClient)
+}
+
 func (s adminServer) forwardDrain(ctx context.Context, req *adminv1.DrainTargetRequest) []*adminv1.ZoneReach {
 	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
 	defer cancel()
 	forwarded := &adminv1.DrainTargetRequest{Id: req.GetId(), EditId: req.GetEditId(), Resume: req.GetResume(), Forwarded: true}
 	return s.node.poll(ctx, true, func(ctx context.Context, p peer) (string, bool) {
-		client := adminv1.NewAdminServiceProtobufClient(s.node.peerURL(p.address), s.node.peerClient)
-		_, err := client.DrainTarget(ctx, forwarded)
+		_, err := s.forwardTo(p).DrainTarget(ctx, forwarded)
 		return "", err == nil
 	})
 }
--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -254,34 +254,38 @@
 	c.conns[vm] = nil
 }
 
-// testAddress returns a loopback address that is free for TCP and UDP. Its
-// port lies below the range from which the system gives out ports, so that no
-// outgoing connection takes it before the VM listens.
+// Ports of tests lie below the range from which the system takes the ports of
+// outgoing connections, which may occupy a port between its choice and its use.
+const (
+	firstTestPort = 20000
+	testPorts     = 12000
+)
+
+var nextTestPort atomic.Uint32
+
+func init() { nextTestPort.Store(rand.Uint32N(testPorts)) }
+
+// testAddress returns an address that is free for TCP and UDP.
 func testAddress(t testing.TB) string {
 	t.Helper()
-	for range 100 {
-		address := fmt.Sprintf("127.0.0.1:%d", 20000+rand.IntN(12000))
-		if free(address) {
-			return address
+	for range testPorts {
+		address := fmt.Sprint("127.0.0.1:", firstTestPort+nextTestPort.Add(1)%testPorts)
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		l.Close()
+		p, err := net.ListenPacket("udp", address)
+		if err != nil {
+			continue
 		}
+		p.Close()
+		return address
 	}
-	t.Fatal("found no free port")
+	t.Fatal("no free port")
 	return ""
 }
 
-func free(address string) bool {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return false
-	}
-	defer l.Close()
-	p, err := net.ListenPacket("udp", address)
-	if err != nil {
-		return false
-	}
-	return p.Close() == nil
-}
-
 func adminOf(n *Node) adminv1.AdminService {
 	return adminv1.NewAdminServiceProtobufClient("http://"+n.settings.AdminAddress, http.DefaultClient)
 }
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -46,6 +46,8 @@
 	// Dispatched tells the other VMs of a choice; may be nil. It must not
 	// block.
 	Dispatched func(d Dispatch)
+	// Export copies blocks to a KV store; may be nil. It must not block.
+	Export func(e Export)
 	// Zone and Region are where this VM runs.
 	Zone, Region string
 
@@ -59,6 +61,7 @@
 	link   linkBudget
 	hold   time.Duration
 	recent recentChoices
+	kv     exports
 }
 
 // Dispatch is a choice that a VM made.
@@ -70,6 +73,8 @@
 	Held  int
 	// Work is the expected prefill time.
 	Work time.Duration
+	// Failed takes the choice back.
+	Failed bool
 }
 
 // Elsewhere takes note of a choice that another VM made. What the target
@@ -99,11 +104,17 @@
 
 // Pick implements serving.Picker.
 func (p *Picker) Pick(ctx context.Context, req serving.PickRequest) (*serving.Pick, *serving.Refusal) {
-	call := req.Call
+	hint := hintOf(req.Call)
+	return p.PickChain(ctx, req, hint)
+}
+
+// hintOf names the blocks of a prompt, so that engines and the index speak of
+// the same ones.
+func hintOf(call *serving.Call) serving.PrefixHint {
 	scope := prefix.Scope{Workspace: call.Workspace, Model: call.Model, Version: call.Version, Adapter: call.Adapter}
 	hint := serving.PrefixHint{Scope: scope.Digest()}
 	hint.Blocks = prefix.AppendChain(nil, hint.Scope, call.Prompt, call.Snapshot.Document.Models[call.Model].BlockTokens)
-	return p.PickChain(ctx, req, hint)
+	return hint
 }
 
 // PickChain chooses a target for a prompt whose chain is known.
@@ -186,10 +197,6 @@
 	return q
 }
 
-// kvBytesPerSecond is the assumed throughput between a KV store and an engine
-// of its region, 10 Gbit/s.
-const kvBytesPerSecond = 1.25e9
-
 // placeRemote spreads the owner's answer over the candidates at home. What
 // this VM chose in the last moments is added, because the owner may not have
 // heard of it.
@@ -208,24 +215,6 @@
 	})
 }
 
-func (p *Picker) findStore(q *query, holdings []prefix.Holding) {
-	if q.kvBlock >= q.block {
-		return
-	}
-	for i := range q.group.stores {
-		s := &q.group.stores[i]
-		blocks := matched(&p.match, s)
-		for _, h := range holdings {
-			if h.Ref == s.target.Ref() {
-				blocks = max(blocks, h.Blocks)
-			}
-		}
-		if blocks > q.stored {
-			q.stored, q.store = blocks, s
-		}
-	}
-}
-
 // commit books the choice.
 func (p *Picker) commit(q *query, c *choice, hint serving.PrefixHint) *serving.Pick {
 	ref := c.target.Ref()
@@ -239,11 +228,12 @@
 		p.recent.add(q.now, ref, q.chain)
 	}
 	if p.Dispatched != nil {
-		p.Dispatched(Dispatch{ref, q.chain, c.blocks, c.prefill})
+		p.Dispatched(Dispatch{Ref: ref, Chain: q.chain, Held: c.blocks, Work: c.prefill})
 	}
 	if c.imports {
 		hint.KVSource = q.store.target.URL
 	}
+	p.export(q, c, hint.Scope)
 	blockTokens := call.Snapshot.Document.Models[call.Model].BlockTokens
 	expected := min(c.blocks*blockTokens, call.PromptTokens)
 	var once sync.Once
@@ -261,6 +251,9 @@
 	c.load.finished()
 	if result.Err != nil {
 		p.Index.RetractPredicted(c.target.Ref(), q.chain)
+		if p.Dispatched != nil && len(q.chain) > 0 {
+			p.Dispatched(Dispatch{Ref: c.target.Ref(), Chain: q.chain, Failed: true})
+		}
 		return
 	}
 	p.hold += time.Duration(holdWeight * float64(now.Sub(q.now)-p.hold))
