--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -228,7 +228,8 @@
 
 // DrainTarget implements adminv1.AdminService. Membership spreads the decision;
 // a forwarded call only waits for it. If each VM decided for itself, a late call
-// could undo a newer decision.
+// could undo a newer decision. A VM that restarts learns of drains from the
+// others.
 func (s adminServer) DrainTarget(ctx context.Context, req *adminv1.DrainTargetRequest) (*adminv1.DrainTargetResponse, error) {
 	if req.GetForwarded() {
 		return &adminv1.DrainTargetResponse{}, s.awaitDrain(ctx, req)
