--- a/internal/adapter/callerhttp/answer.go
+++ b/internal/adapter/callerhttp/answer.go
@@ -68,6 +68,8 @@
 	control *http.ResponseController
 	// record is true if the events must be kept for resends.
 	record bool
+	// patience bounds one write.
+	patience time.Duration
 
 	mu       sync.Mutex
 	started  bool
@@ -83,7 +85,7 @@
 var errEnded = errors.New("the stream has ended")
 
 func newEventSink(w http.ResponseWriter, heartbeat time.Duration, record bool) *eventSink {
-	s := &eventSink{w: w, control: http.NewResponseController(w), record: record, interval: heartbeat, last: time.Now()}
+	s := &eventSink{w: w, control: http.NewResponseController(w), record: record, patience: writeTimeout, interval: heartbeat, last: time.Now()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.beat = time.AfterFunc(heartbeat, s.heartbeat)
@@ -112,7 +114,7 @@
 	}
 	s.start("text/event-stream")
 	s.last = time.Now()
-	_ = s.control.SetWriteDeadline(s.last.Add(writeTimeout))
+	_ = s.control.SetWriteDeadline(s.last.Add(s.patience))
 	if _, err := s.w.Write(data); err != nil {
 		return err
 	}
