--- a/internal/fairqueue/queue.go
+++ b/internal/fairqueue/queue.go
@@ -42,21 +42,43 @@
 type Queue struct {
 	// Clock returns the current time.
 	Clock serving.Clock
-	// Capacity returns how many requests of a group may be in flight from
-	// this VM, of which inFlight are. Zero means that no target is usable;
-	// such requests pass, and routing refuses them.
-	Capacity func(group string, inFlight int) int
+	// Capacity returns the limits of a group for this VM, given what is in
+	// flight from it.
+	Capacity func(group string, own Usage) Limits
 
 	mu     sync.Mutex
 	groups map[string]*group
 }
 
+// Usage is what one VM has in flight in a group.
+type Usage struct {
+	// InFlight is the number of requests, Prefilling those without a first
+	// token.
+	InFlight   int
+	Prefilling int
+}
+
+// Limits bounds what one VM may have in flight in a group. Zero InFlight means
+// that no target is usable; requests then pass, and routing refuses them.
+type Limits struct {
+	// InFlight bounds the requests.
+	InFlight int
+	// Prefilling bounds the requests without a first token. An engine
+	// prefills one prompt after the other, so more of them only queue there,
+	// where neither fairness nor routing reaches them.
+	Prefilling int
+}
+
+func (l Limits) allow(u Usage) bool {
+	return l.InFlight == 0 || (u.InFlight < l.InFlight && u.Prefilling < l.Prefilling)
+}
+
 // group holds the requests for one model or service.
 type group struct {
 	virtual    float64
 	flows      map[string]*flow
 	waiting    []*entry
-	inFlight   int
+	usage      Usage
 	debt       float64
 	throughput throughput
 }
@@ -86,7 +108,7 @@
 }
 
 // Acquire implements serving.Queue.
-func (q *Queue) Acquire(ctx context.Context, req serving.QueueRequest) (func(prefillTokens, decodeTokens int), *serving.Refusal) {
+func (q *Queue) Acquire(ctx context.Context, req serving.QueueRequest) (serving.Slot, *serving.Refusal) {
 	q.mu.Lock()
 	g := q.group(req.Group)
 	if refusal := g.refuse(q.Clock(), req); refusal != nil {
@@ -99,7 +121,45 @@
 	if !q.wait(ctx, req.Group, g, e) {
 		return nil, refuse("queue_timeout", "the request waited too long for a target", time.Second)
 	}
-	return func(prefill, decode int) { q.release(req.Group, g, e, Cost(prefill, decode)) }, nil
+	return &slot{queue: q, name: req.Group, group: g, entry: e}, nil
+}
+
+// slot implements serving.Slot.
+type slot struct {
+	queue *Queue
+	name  string
+	group *group
+	entry *entry
+	// prefilled and released are guarded by the mutex of the queue.
+	prefilled bool
+	released  bool
+}
+
+// FirstToken implements serving.Slot.
+func (s *slot) FirstToken() {
+	s.queue.mu.Lock()
+	defer s.queue.mu.Unlock()
+	s.endPrefill()
+	s.queue.dispatch(s.name, s.group)
+}
+
+// Release implements serving.Slot.
+func (s *slot) Release(prefillTokens, decodeTokens int) {
+	s.queue.mu.Lock()
+	defer s.queue.mu.Unlock()
+	if s.released {
+		return
+	}
+	s.released = true
+	s.endPrefill()
+	s.queue.release(s.name, s.group, s.entry, Cost(prefillTokens, decodeTokens))
+}
+
+func (s *slot) endPrefill() {
+	if !s.prefilled {
+		s.prefilled = true
+		s.group.usage.Prefilling--
+	}
 }
 
 // Waiting returns the number of waiting requests of a group.
@@ -166,10 +226,9 @@
 	return true
 }
 
+// release is called with the mutex held.
 func (q *Queue) release(name string, g *group, e *entry, cost float64) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	g.inFlight--
+	g.usage.InFlight--
 	e.flow.running--
 	e.flow.finish += (cost - e.cost) / e.weight
 	g.throughput.add(q.Clock(), cost)
@@ -180,8 +239,7 @@
 // dispatch lets requests go while there is capacity.
 func (q *Queue) dispatch(name string, g *group) {
 	for len(g.waiting) > 0 {
-		capacity := q.Capacity(name, g.inFlight)
-		if capacity > 0 && g.inFlight >= capacity {
+		if !q.Capacity(name, g.usage).allow(g.usage) {
 			return
 		}
 		g.admit(g.next())
@@ -244,7 +302,8 @@
 	g.waiting = slices.Delete(g.waiting, i, i+1)
 	g.account(e)
 	g.virtual = max(g.virtual, e.start)
-	g.inFlight++
+	g.usage.InFlight++
+	g.usage.Prefilling++
 	e.flow.waiting--
 	e.flow.running++
 	e.admitted = true
--- a/internal/fairqueue/queue_test.go
+++ b/internal/fairqueue/queue_test.go
@@ -22,7 +22,7 @@
 	b := &bench{t: t, now: time.Unix(1000, 0), order: make(chan string, 1000)}
 	b.queue = &Queue{
 		Clock:    func() time.Time { return b.now },
-		Capacity: func(string, int) int { return capacity },
+		Capacity: func(string, Usage) Limits { return Limits{InFlight: capacity, Prefilling: capacity} },
 	}
 	return b
 }
@@ -36,24 +36,24 @@
 
 // hold takes a slot, so that later requests have to wait.
 func (b *bench) hold() func(int, int) {
-	release, refusal := b.queue.Acquire(context.Background(), b.request("holder", config.ClassInteractive))
+	slot, refusal := b.queue.Acquire(context.Background(), b.request("holder", config.ClassInteractive))
 	if refusal != nil {
 		b.t.Fatal(refusal)
 	}
-	return release
+	return slot.Release
 }
 
 // enqueue starts a request and returns once it waits.
 func (b *bench) enqueue(name string, req serving.QueueRequest) {
 	before := b.queue.Waiting(req.Group)
 	go func() {
-		release, refusal := b.queue.Acquire(context.Background(), req)
+		slot, refusal := b.queue.Acquire(context.Background(), req)
 		if refusal != nil {
 			b.order <- refusal.Code
 			return
 		}
 		b.order <- name
-		release(req.PrefillTokens, req.DecodeTokens)
+		slot.Release(req.PrefillTokens, req.DecodeTokens)
 	}()
 	for b.queue.Waiting(req.Group) == before {
 		time.Sleep(time.Millisecond)
@@ -138,3 +138,23 @@
 	release(0, 0)
 	b.hold()(0, 0)
 }
+
+// Guards against prompts that queue inside engines, and against a limit on
+// prefill that stays taken after the first token.
+func TestPrefillLimitIsFreedByTheFirstToken(t *testing.T) {
+	b := newBench(t, 10)
+	b.queue.Capacity = func(string, Usage) Limits { return Limits{InFlight: 10, Prefilling: 1} }
+	first, refusal := b.queue.Acquire(context.Background(), b.request("w", config.ClassInteractive))
+	if refusal != nil {
+		t.Fatal(refusal)
+	}
+	b.enqueue("second", b.request("w", config.ClassInteractive))
+	if n := b.queue.Waiting("m"); n != 1 {
+		t.Fatalf("%d requests wait for the prefill of the first, want 1", n)
+	}
+	first.FirstToken()
+	if got := <-b.order; got != "second" {
+		t.Fatalf("got %q", got)
+	}
+	first.Release(1000, 10)
+}
--- a/internal/idempotency/schedule_test.go
+++ b/internal/idempotency/schedule_test.go
@@ -151,8 +151,8 @@
 	return w, nil
 }
 func (w *world) Settle(int64) {}
-func (w *world) Acquire(context.Context, serving.QueueRequest) (func(int, int), *serving.Refusal) {
-	return func(int, int) {}, nil
+func (w *world) Acquire(context.Context, serving.QueueRequest) (serving.Slot, *serving.Refusal) {
+	return freeSlot{}, nil
 }
 func (w *world) Allow(string, string) bool    { return true }
 func (w *world) Finished(string, string)      {}
@@ -235,3 +235,9 @@
 		}
 	})
 }
+
+// freeSlot is the turn of a queue without limits.
+type freeSlot struct{}
+
+func (freeSlot) FirstToken()      {}
+func (freeSlot) Release(int, int) {}
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -59,18 +59,18 @@
 
 func (f *forward) enqueue(ctx context.Context) *Refusal {
 	call := f.call
-	release, refusal := f.service.Queue.Acquire(ctx, QueueRequest{
+	slot, refusal := f.service.Queue.Acquire(ctx, QueueRequest{
 		Group:         call.Route.Service,
 		Workspace:     call.Workspace,
 		Weight:        max(call.Snapshot.Document.Workspaces[call.Workspace].Weight, config.DefaultWeight),
 		Class:         call.Route.Class,
 		PrefillTokens: call.Route.CostTokens,
-		Deadline:      call.Deadline,
+		Deadline:      call.startBy(),
 	})
 	if refusal != nil {
 		return f.interrupted(ctx, refusal)
 	}
-	defer release(call.Route.CostTokens, 0)
+	defer slot.Release(call.Route.CostTokens, 0)
 	if call.Route.Run == config.RunAtMostOnce {
 		return f.runOnce(ctx)
 	}
--- a/internal/serving/ports.go
+++ b/internal/serving/ports.go
@@ -115,17 +115,23 @@
 	// PrefillTokens and DecodeTokens are the expected work.
 	PrefillTokens int
 	DecodeTokens  int
-	// Capacity is how many requests the group runs at once.
-	Capacity int
-	// Deadline refuses the request early if it cannot be met.
+	// Deadline is when the request must have its turn; a request that cannot
+	// is refused early.
 	Deadline time.Time
 }
 
+// Slot is the turn of a request. Release must be called once.
+type Slot interface {
+	// FirstToken tells that the prefill is done. Only the first call counts.
+	FirstToken()
+	// Release ends the turn, with the work that was really done.
+	Release(prefillTokens, decodeTokens int)
+}
+
 // Queue orders requests by weighted fair queueing.
 type Queue interface {
-	// Acquire waits for a turn. The release function must be called once,
-	// with the work that was really done.
-	Acquire(ctx context.Context, req QueueRequest) (release func(prefillTokens, decodeTokens int), refusal *Refusal)
+	// Acquire waits for a turn.
+	Acquire(ctx context.Context, req QueueRequest) (Slot, *Refusal)
 }
 
 // Claim identifies one at-most-once request.
--- a/internal/serving/run.go
+++ b/internal/serving/run.go
@@ -12,6 +12,8 @@
 
 // run is the state of one model request.
 type run struct {
+	// slot is the turn of the request at its group of targets.
+	slot         Slot
 	service      *Service
 	call         *Call
 	sink         Sink
@@ -261,6 +263,7 @@
 func (r *run) noteTokens(now time.Time) {
 	if r.first.IsZero() {
 		r.first = now
+		r.slot.FirstToken()
 	} else {
 		r.maxGap = max(r.maxGap, now.Sub(r.last))
 	}
--- a/internal/serving/service.go
+++ b/internal/serving/service.go
@@ -74,29 +74,41 @@
 func (r *run) enqueue(ctx context.Context) *Refusal {
 	call := r.call
 	start := r.service.Clock()
-	release, refusal := r.service.Queue.Acquire(ctx, QueueRequest{
+	slot, refusal := r.service.Queue.Acquire(ctx, QueueRequest{
 		Group:         call.Model,
 		Workspace:     call.Workspace,
 		Weight:        call.Snapshot.Document.Workspaces[call.Workspace].Weight,
 		Class:         call.Route.Class,
 		PrefillTokens: call.PromptTokens,
 		DecodeTokens:  call.MaxTokens,
-		Deadline:      call.Deadline,
+		Deadline:      call.startBy(),
 	})
 	if refusal != nil {
 		return r.interrupted(ctx, refusal)
 	}
+	r.slot = slot
 	r.queued = r.service.Clock().Sub(start)
 	if call.Route.Run == config.RunAtMostOnce {
 		refusal = r.attemptOnce(ctx)
 	} else {
 		refusal = r.attemptAll(ctx)
 	}
-	release(max(0, call.PromptTokens-r.cached), r.tracker.Delivered())
+	slot.Release(max(0, call.PromptTokens-r.cached), r.tracker.Delivered())
 	r.bill()
 	return refusal
 }
 
+// startBy is when a target must have the request. A caller that waits longer
+// than the stall limit of the first token is better served by a refusal, which
+// it can take elsewhere.
+func (c *Call) startBy() time.Time {
+	limit := c.Received.Add(c.Route.FirstTokenTimeout())
+	if limit.Before(c.Deadline) {
+		return limit
+	}
+	return c.Deadline
+}
+
 // billed returns the tokens that count against the rate.
 func (r *run) billed() int64 {
 	if r.tracker.Delivered() == 0 {
