--- a/cmd/cuminwingd/main.go
+++ b/cmd/cuminwingd/main.go
@@ -11,6 +11,7 @@
 	"github.com/alecthomas/kingpin/v2"
 	"go.uber.org/zap"
 
+	"github.com/cuminwing/cuminwing/internal/cli/daemonflags"
 	"github.com/cuminwing/cuminwing/internal/config"
 	"github.com/cuminwing/cuminwing/internal/daemon"
 	"github.com/cuminwing/cuminwing/internal/settings"
@@ -23,11 +24,9 @@
 )
 
 func main() {
-	app := kingpin.New("cuminwingd", "Routes language-model requests with long shared prompts.")
-	file := app.Flag("settings", "Settings file of this VM (JSON).").Required().PlaceHolder("FILE").String()
-	check := app.Flag("check", "Check the settings and exit.").Bool()
+	app, flags := daemonflags.New()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
-	os.Exit(run(*file, *check))
+	os.Exit(run(flags.Settings, flags.Check))
 }
 
 func run(file string, check bool) int {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -47,6 +47,20 @@
 
 // Run executes the tool with args and returns its exit code.
 func Run(args []string, out, errOut io.Writer) int {
+	r := newRegistry(out, errOut)
+	name, exit, err := parse(r.app, args)
+	if exit >= 0 {
+		return exit
+	}
+	if err != nil {
+		fmt.Fprintln(errOut, "cuminwing:", err)
+		return ExitRefused
+	}
+	return r.commands[name](out, errOut)
+}
+
+// newRegistry returns all commands. Nothing runs before a command is called.
+func newRegistry(out, errOut io.Writer) *registry {
 	app := kingpin.New("cuminwing", "Operates a cuminwing service.")
 	app.UsageWriter(out).ErrorWriter(errOut).UsageTemplate(kingpin.DefaultUsageTemplate + longHelpTemplate)
 	// kingpin expects that this function does not return: after --help or a
@@ -62,15 +76,7 @@
 	addDemo(r)
 	addLoad(r)
 	addReportBurn(r)
-	name, exit, err := parse(app, args)
-	if exit >= 0 {
-		return exit
-	}
-	if err != nil {
-		fmt.Fprintln(errOut, "cuminwing:", err)
-		return ExitRefused
-	}
-	return r.commands[name](out, errOut)
+	return r
 }
 
 // exitRequest is the exit code that kingpin asks for.
