--- a/internal/arch/arch_test.go
+++ b/internal/arch/arch_test.go
@@ -21,7 +21,7 @@
 // outer lists the packages that do I/O or wire adapters together. Everything
 // else below internal is a domain package.
 var outer = []string{
-	"internal/adapter", "internal/cli", "internal/cmd", "internal/daemon", "internal/loadgen",
+	"internal/adapter", "internal/cli", "internal/cmd", "internal/daemon", "internal/loadgen", "internal/loopback",
 	"internal/scenario", "internal/settings", "internal/standin", "internal/arch",
 }
 
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"time"
@@ -12,6 +11,7 @@
 	"github.com/cuminwing/cuminwing/internal/config"
 	"github.com/cuminwing/cuminwing/internal/daemon"
 	"github.com/cuminwing/cuminwing/internal/loadgen"
+	"github.com/cuminwing/cuminwing/internal/loopback"
 	"github.com/cuminwing/cuminwing/internal/settings"
 	"github.com/cuminwing/cuminwing/internal/standin"
 )
@@ -141,7 +141,7 @@
 
 func giveAddresses(s *settings.Settings) error {
 	for _, a := range []*string{&s.CallerAddress, &s.TargetAddress, &s.PeerAddress, &s.GossipAddress, &s.AdminAddress} {
-		address, err := freeAddress()
+		address, err := loopback.Address()
 		if err != nil {
 			return err
 		}
@@ -150,16 +150,6 @@
 	return nil
 }
 
-// freeAddress returns a loopback address whose port was free a moment ago.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 // engineTokenInterval is the time between tokens of a stand-in engine.
 const engineTokenInterval = 5 * time.Millisecond
 
--- a/internal/cli/operate_test.go
+++ b/internal/cli/operate_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/http/httputil"
@@ -16,6 +15,7 @@
 	"time"
 
 	"github.com/cuminwing/cuminwing/internal/daemon"
+	"github.com/cuminwing/cuminwing/internal/loopback"
 	"github.com/cuminwing/cuminwing/internal/settings"
 )
 
@@ -33,12 +33,11 @@
 	t.Helper()
 	s := settings.Settings{VM: "vm-1", Zone: "muc-a", Region: "oberbayern", DataFolder: t.TempDir()}
 	for _, a := range []*string{&s.CallerAddress, &s.TargetAddress, &s.PeerAddress, &s.GossipAddress, &s.AdminAddress} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		address, err := loopback.Address()
 		if err != nil {
 			t.Fatal(err)
 		}
-		*a = l.Addr().String()
-		l.Close()
+		*a = address
 	}
 	s.Voters = map[string]string{s.VM: s.PeerAddress}
 	n, err := daemon.Start(s, daemon.Options{})
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -82,7 +82,7 @@
 func TestAllProblemsAreReportedAtOnce(t *testing.T) {
 	_, err := Parse([]byte(`{
 		"models": {"m": {"serving_version": "v1", "ordered_version": "v1", "block_tokens": 0}},
-		"workspaces": {"w": {"on_unconfirmed_keys": "maybe", "keys": [{"id": "a", "sha256": "00"}]}},
+		"workspaces": {"w": {"on_unconfirmed_keys": "maybe", "keys": [{"id": "a", "sha256": "00"}, {"id": "a", "sha256": "01"}]}},
 		"rates": {"other": {"rate_tokens_per_second": -1, "burst_tokens": 10}},
 		"routes": {"r": {"kind": "model", "model": "missing", "run": "at-most-once", "hedge_after_ms": 5}},
 		"zones": {"z": {"region": "r", "vm_slots": 0}}
@@ -92,7 +92,7 @@
 	}
 	for _, path := range []string{
 		"models.m.ordered_version", "models.m.block_tokens", "workspaces.w.on_unconfirmed_keys",
-		"workspaces.w.keys[0].sha256", "rates.other.rate_tokens_per_second", "rates.other: workspace",
+		"workspaces.w.keys[0].sha256", "workspaces.w.keys[1].id", "rates.other.rate_tokens_per_second", "rates.other: workspace",
 		"rates: workspace \"w\"", "routes.r.model", "routes.r.hedge_after_ms", "zones.z.vm_slots",
 	} {
 		if !strings.Contains(err.Error(), "\n  "+path) {
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -86,8 +86,14 @@
 	if w.KeyLeaseMS < MinKeyLeaseMS {
 		v.addf(path+".key_lease_ms", "must be at least %d", MinKeyLeaseMS)
 	}
+	ids := make(map[string]bool, len(w.Keys))
 	for i, k := range w.Keys {
-		v.checkKey(fmt.Sprintf("%s.keys[%d]", path, i), name, k, owners)
+		keyPath := fmt.Sprintf("%s.keys[%d]", path, i)
+		v.checkKey(keyPath, name, k, owners)
+		if ids[k.ID] {
+			v.addf(keyPath+".id", "another key of the workspace has the ID %q", k.ID)
+		}
+		ids[k.ID] = true
 	}
 }
 
--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -18,6 +17,7 @@
 	"github.com/cuminwing/cuminwing/internal/config"
 	"github.com/cuminwing/cuminwing/internal/control"
 	"github.com/cuminwing/cuminwing/internal/control/sections"
+	"github.com/cuminwing/cuminwing/internal/loopback"
 	"github.com/cuminwing/cuminwing/internal/settings"
 	adminv1 "github.com/cuminwing/cuminwing/proto/admin/v1"
 	configv1 "github.com/cuminwing/cuminwing/proto/config/v1"
@@ -254,36 +254,14 @@
 	c.conns[vm] = nil
 }
 
-// Ports of tests lie below the range from which the system takes the ports of
-// outgoing connections, which may occupy a port between its choice and its use.
-const (
-	firstTestPort = 20000
-	testPorts     = 12000
-)
-
-var nextTestPort atomic.Uint32
-
-func init() { nextTestPort.Store(rand.Uint32N(testPorts)) }
-
 // testAddress returns an address that is free for TCP and UDP.
 func testAddress(t testing.TB) string {
 	t.Helper()
-	for range testPorts {
-		address := fmt.Sprint("127.0.0.1:", firstTestPort+nextTestPort.Add(1)%testPorts)
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		l.Close()
-		p, err := net.ListenPacket("udp", address)
-		if err != nil {
-			continue
-		}
-		p.Close()
-		return address
+	address, err := loopback.Address()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no free port")
-	return ""
+	return address
 }
 
 func adminOf(n *Node) adminv1.AdminService {
--- a/internal/daemon/routing_test.go
+++ b/internal/daemon/routing_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -37,12 +36,7 @@
 			s.Zone = "b"
 		}
 		for _, a := range []*string{&s.TargetAddress, &s.PeerAddress, &s.AdminAddress} {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			*a = l.Addr().String()
-			l.Close()
+			*a = testAddress(t)
 		}
 		vms[i].Node = newNode(s, Options{})
 		vms[i].picker = vms[i].newPicker()
--- a/internal/daemon/targets.go
+++ b/internal/daemon/targets.go
@@ -38,6 +38,6 @@
 		if !membership.Fits(a) {
 			n.logger.Error("announcement is too long to reach other VMs", zap.String("target", a.ID), zap.Int("adapters", len(a.Adapters)))
 		}
-		n.logger.Info("target changed", zap.String("target", a.ID), zap.Uint64("incarnation", a.Incarnation), zap.Int("change", int(change)))
+		n.logger.Info("target changed", zap.String("target", a.ID), zap.Uint64("incarnation", a.Incarnation), zap.Stringer("change", change))
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -193,10 +193,12 @@
 		c.required("$.caller_tls.key_file", s.CallerTLS.KeyFile)
 	}
 	if s.PeerTLS == nil {
-		addr, err := netip.ParseAddrPort(s.PeerAddress)
-		if err == nil && !addr.Addr().IsLoopback() {
+		if !loopback(s.PeerAddress) {
 			c.add("$.peer_tls", "is required because peer_address is not a loopback address")
 		}
+		if !loopback(s.GossipAddress) && s.ClusterSecretFile == "" {
+			c.add("$.cluster_secret_file", "is required because gossip_address is not a loopback address")
+		}
 		return
 	}
 	c.required("$.peer_tls.cert_file", s.PeerTLS.CertFile)
@@ -205,6 +207,13 @@
 	c.required("$.cluster_secret_file", s.ClusterSecretFile)
 }
 
+// loopback reports whether an address stays on this machine. A malformed one
+// is reported elsewhere.
+func loopback(address string) bool {
+	addr, err := netip.ParseAddrPort(address)
+	return err != nil || addr.Addr().IsLoopback()
+}
+
 // resolvePaths makes file names relative to the folder of the settings file.
 func (s *Settings) resolvePaths(folder string) {
 	paths := []*string{&s.DataFolder, &s.ClusterSecretFile, &s.DocumentFile}
--- a/internal/target/registry.go
+++ b/internal/target/registry.go
@@ -134,6 +134,21 @@
 	Redescribed
 )
 
+// String returns the change as log lines show it.
+func (c Change) String() string {
+	switch c {
+	case Joined:
+		return "joined"
+	case Replaced:
+		return "replaced"
+	case Left:
+		return "left"
+	case Refreshed:
+		return "refreshed"
+	}
+	return "stale"
+}
+
 // Registry holds the targets known to one VM. It is safe for concurrent use.
 type Registry struct {
 	mu      sync.RWMutex
