Give each derived state a history of its own

Cause: two states derived from one state appended to the same backing array. On a voter the log and a pull derive states from the same one, so one of them overwrote the last entry of the other's history. If the other edit was rejected, VMs that catch up from this history could get a change that was never accepted.

Change: the first state that follows takes the room behind the history, by an atomic flag; any other copies.

Figures: TestStatesDoNotShareHistory fails before and passes after, go test -race ./internal/control/sections.

Conclusion: the history that a VM passes on holds accepted changes only.

--- a/internal/control/sections/part_test.go
+++ b/internal/control/sections/part_test.go
@@ -168,3 +168,28 @@
 		t.Fatal("a change was applied over a gap")
 	}
 }
+
+// Guards against two states that follow the same one, as the log and a pull
+// make them, overwriting each other's history: a rejected edit would be passed
+// on to VMs that catch up.
+func TestStatesDoNotShareHistory(t *testing.T) {
+	p := newPart()
+	apply(t, p, 1, firstEdit(t, 1))
+	for i := range uint64(2) {
+		apply(t, p, i+2, rateEdit(fmt.Sprint("e", i), i+1, "workspace-0000", int(i)+1))
+	}
+	base := p.State()
+	change := func(id string) *configv1.Change {
+		return &configv1.Change{Revision: 4, Previous: 3, Edit: rateEdit(id, 3, "workspace-0000", 9)}
+	}
+	first, err := base.Apply(change("first"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := base.Apply(change("second")); err != nil {
+		t.Fatal(err)
+	}
+	if changes, _ := first.Since(3); len(changes) != 1 || changes[0].GetEdit().GetId() != "first" {
+		t.Fatalf("the history of the first state became %v", changes)
+	}
+}
--- a/internal/control/sections/state.go
+++ b/internal/control/sections/state.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
+	"sync/atomic"
 
 	"github.com/cuminwing/cuminwing/internal/config"
 	configv1 "github.com/cuminwing/cuminwing/proto/config/v1"
@@ -41,10 +43,13 @@
 	// Document is the decoded document, without defaults.
 	Document config.Document
 
-	// history holds the latest changes, oldest first. Apply appends behind the
-	// length that earlier states see.
+	// history holds the latest changes, oldest first. The first state that
+	// follows appends behind the length that this one sees; others copy.
 	history      []*configv1.Change
 	historyBytes int
+	// followed is set once the room behind history is taken. The log and a pull
+	// of the same VM may derive states from one state at the same time.
+	followed atomic.Bool
 }
 
 // NewState returns the state before the first edit.
@@ -92,7 +97,7 @@
 		Revision:     change.GetRevision(),
 		Sections:     maps.Clone(s.Sections),
 		Document:     s.Document,
-		history:      s.history,
+		history:      s.claimHistory(),
 		historyBytes: s.historyBytes,
 	}
 	var problems []config.Problem
@@ -123,6 +128,14 @@
 	return changed, problems
 }
 
+// claimHistory returns the history for one state that follows.
+func (s *State) claimHistory() []*configv1.Change {
+	if s.followed.CompareAndSwap(false, true) {
+		return s.history
+	}
+	return slices.Clip(s.history)
+}
+
 func (s *State) remember(change *configv1.Change) {
 	s.history = append(s.history, change)
 	s.historyBytes += proto.Size(change)
