Add scripted scenarios of failure over real daemons

Cause: no test runs several failures against whole VMs, with engines and services behind them and a network that can be cut, also silently.

--- /dev/null
+++ b/internal/scenario/commands_test.go
@@ -0,0 +1,417 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/cuminwing/cuminwing/internal/config"
+	"github.com/cuminwing/cuminwing/internal/control/keyset"
+	"github.com/cuminwing/cuminwing/internal/control/sections"
+	"github.com/cuminwing/cuminwing/internal/keys"
+	"github.com/cuminwing/cuminwing/internal/standin"
+	adminv1 "github.com/cuminwing/cuminwing/proto/admin/v1"
+	configv1 "github.com/cuminwing/cuminwing/proto/config/v1"
+)
+
+// scenarioCommand runs one line of a script.
+type scenarioCommand func(w *world, ts *testscript.TestScript, args []string)
+
+// commands are the words of the scripts; wrap gives each its world.
+var commands = map[string]func(*testscript.TestScript, bool, []string){
+	"fleet":      wrap(1, cmdFleet),
+	"engine":     wrap(2, cmdEngine),
+	"service":    wrap(3, cmdService),
+	"fault":      wrap(2, cmdFault),
+	"silence":    wrap(1, cmdSilence),
+	"crash":      wrap(1, cmdCrash),
+	"restart":    wrap(1, cmdRestart),
+	"shutdown":   wrap(1, cmdShutdown),
+	"cut":        wrap(1, cmdCut),
+	"heal":       wrap(1, cmdHeal),
+	"call":       wrap(2, cmdCall),
+	"order":      wrap(3, cmdOrder),
+	"serves":     wrap(1, cmdServes),
+	"streaming":  wrap(2, cmdStreaming),
+	"expect":     wrap(2, cmdExpect),
+	"executions": wrap(2, cmdExecutions),
+	"edit":       wrap(2, cmdEdit),
+	"in-force":   wrap(1, cmdInForce),
+	"withdraw":   wrap(1, cmdWithdraw),
+	"refused":    wrap(1, cmdRefused),
+	"ready":      wrap(0, cmdReady),
+	"not-edited": wrap(2, cmdNotEdited),
+	"race":       wrap(2, cmdRace),
+	"flood":      wrap(2, cmdFlood),
+}
+
+func wrap(least int, f scenarioCommand) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, neg bool, args []string) {
+		if neg || len(args) < least {
+			ts.Fatalf("bad use of the command")
+		}
+		f(ts.Value(worldKey{}).(*world), ts, args)
+	}
+}
+
+// options reads arguments of the form name=value.
+func options(args []string) map[string]string {
+	out := make(map[string]string)
+	for _, a := range args {
+		name, value, _ := strings.Cut(a, "=")
+		out[name] = value
+	}
+	return out
+}
+
+func number(ts *testscript.TestScript, text string, otherwise int) int {
+	if text == "" {
+		return otherwise
+	}
+	n, err := strconv.Atoi(text)
+	ts.Check(err)
+	return n
+}
+
+func await(ts *testscript.TestScript, what string, ok func() bool) {
+	for end := time.Now().Add(patience); !ok(); time.Sleep(poll) {
+		if time.Now().After(end) {
+			ts.Fatalf("no %s after %s", what, patience)
+		}
+	}
+}
+
+func (w *world) vm(ts *testscript.TestScript, name string) *vm {
+	v := w.vms[w.resolve(ts, name)]
+	if v == nil || v.node == nil {
+		ts.Fatalf("no VM %s is running", name)
+	}
+	return v
+}
+
+// match returns the VMs that are named, or stand in the named zone.
+func (w *world) match(name string) (out []*vm) {
+	for _, n := range w.names {
+		if v := w.vms[n]; name == "all" || name == n || name == v.settings.Zone {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+// cmdFleet starts VMs: fleet ZONE=COUNT... [rate=N] [burst=N] [wait=MS].
+func cmdFleet(w *world, ts *testscript.TestScript, args []string) {
+	set := options(args)
+	slots := make(map[string]int)
+	for zone := range regions {
+		if count := number(ts, set[zone], 0); count > 0 {
+			slots[zone] = count
+			for i := range count {
+				ts.Check(w.plan(zone, i))
+			}
+		}
+	}
+	rate := config.Rate{RateTokensPerSecond: float64(number(ts, set["rate"], 1e6)), BurstTokens: float64(number(ts, set["burst"], 1e6)), MaxWaitMS: number(ts, set["wait"], 10000)}
+	w.document = baseDocument(slots, rate)
+	w.join()
+	for _, v := range w.vms {
+		ts.Check(w.start(v))
+	}
+	cmdReady(w, ts, nil)
+	edit, err := sections.FirstEdit("first", w.document)
+	ts.Check(err)
+	v := w.vms[w.names[0]]
+	await(ts, "first configuration", func() bool { return apply(v, edit) == configv1.Outcome_OUTCOME_ACCEPTED })
+}
+
+// cmdReady waits until the running VMs see each other, all targets and a leader.
+func cmdReady(w *world, ts *testscript.TestScript, _ []string) {
+	up := 0
+	for _, v := range w.vms {
+		if v.node != nil {
+			up++
+		}
+	}
+	for _, v := range w.vms {
+		if v.node != nil {
+			await(ts, "ready VM "+v.settings.VM, func() bool { return v.node.Knows(up, len(w.engines)+len(w.services)) })
+		}
+	}
+}
+
+// cmdEngine starts an engine: engine ID ZONE [interval=DURATION].
+func cmdEngine(w *world, ts *testscript.TestScript, args []string) {
+	interval := 2 * time.Millisecond
+	if text := options(args[2:])["interval"]; text != "" {
+		d, err := time.ParseDuration(text)
+		ts.Check(err)
+		interval = d
+	}
+	id, zone := args[0], args[1]
+	e, err := standin.StartEngine("127.0.0.1:0", standin.EngineOptions{
+		ID: id, Zone: zone, Region: regions[zone], Model: model, Version: "v1",
+		TokenInterval: interval, BatchSlots: 64, Announce: w.announceTo(zone),
+	})
+	ts.Check(err)
+	w.network.add(place{id, zone, regions[zone]}, strings.TrimPrefix(e.URL(), "http://"))
+	w.engines[id] = e
+	cmdReady(w, ts, nil)
+}
+
+// cmdService starts a replica of a plain service: service NAME ID ZONE.
+func cmdService(w *world, ts *testscript.TestScript, args []string) {
+	address, err := testAddress()
+	ts.Check(err)
+	id, zone := args[1], args[2]
+	s, err := standin.StartService(address, standin.ServiceOptions{ID: id, Zone: zone, Region: regions[zone], Service: args[0], Announce: w.announceTo(zone)})
+	ts.Check(err)
+	w.network.add(place{id, zone, regions[zone]}, address)
+	w.services[id] = s
+	cmdReady(w, ts, nil)
+}
+
+// cmdFault sets the faults of a target: fault ID [cut=N] [stall=N] [delay=DURATION].
+func cmdFault(w *world, ts *testscript.TestScript, args []string) {
+	set := options(args[1:])
+	if e := w.engines[args[0]]; e != nil {
+		e.SetFaults(standin.Faults{CutAfter: number(ts, set["cut"], 0), StallAfter: number(ts, set["stall"], 0)})
+		return
+	}
+	delay, err := time.ParseDuration(set["delay"])
+	ts.Check(err)
+	w.services[args[0]].SetFaults(standin.ServiceFaults{Delay: delay})
+}
+
+// cmdSilence makes the open connections of an engine silent; there must be one.
+func cmdSilence(w *world, ts *testscript.TestScript, args []string) {
+	if w.engines[args[0]].Silence() == 0 {
+		ts.Fatalf("no connection was open")
+	}
+}
+
+// cmdCrash stops an engine, a VM, or all VMs of a zone at once. The engine
+// "busy" is one that has a request in work.
+func cmdCrash(w *world, ts *testscript.TestScript, args []string) {
+	name := w.resolve(ts, args[0])
+	if name == "busy" {
+		name = w.busyEngine(ts)
+	}
+	if e := w.engines[name]; e != nil {
+		e.Close()
+		delete(w.engines, name)
+		return
+	}
+	for _, v := range w.match(name) {
+		if v.node != nil {
+			v.node.Close()
+			v.node = nil
+		}
+	}
+}
+
+func (w *world) busyEngine(ts *testscript.TestScript) string {
+	for id, e := range w.engines {
+		if e.Running() > 0 {
+			return id
+		}
+	}
+	ts.Fatalf("no engine has a request in work")
+	return ""
+}
+
+// cmdRestart crashes VMs and starts them again.
+func cmdRestart(w *world, ts *testscript.TestScript, args []string) {
+	cmdCrash(w, ts, args)
+	for _, v := range w.match(w.resolve(ts, args[0])) {
+		ts.Check(w.start(v))
+	}
+}
+
+// cmdShutdown stops a VM gracefully.
+func cmdShutdown(w *world, ts *testscript.TestScript, args []string) {
+	v := w.vm(ts, args[0])
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	ts.Check(v.node.Shutdown(ctx))
+	v.node = nil
+}
+
+// cmdCut cuts a VM, zone or region off: cut NAME [silent].
+func cmdCut(w *world, ts *testscript.TestScript, args []string) {
+	w.network.cut(w.resolve(ts, args[0]), len(args) > 1 && args[1] == "silent")
+}
+
+func cmdHeal(w *world, ts *testscript.TestScript, args []string) {
+	w.network.heal(w.resolve(ts, args[0]))
+}
+
+// cmdCall starts a completion call: call LABEL VM [tokens=N] [whole].
+func cmdCall(w *world, ts *testscript.TestScript, args []string) {
+	set := options(args[2:])
+	_, whole := set["whole"]
+	w.complete(args[0], w.vm(ts, args[1]), number(ts, set["tokens"], 40), !whole)
+}
+
+// cmdServes waits until VMs serve: serves VM.... Until the targets have
+// announced themselves again to a restarted VM, it may refuse with not-run.
+func cmdServes(w *world, ts *testscript.TestScript, args []string) {
+	for _, name := range args {
+		v := w.vm(ts, name)
+		await(ts, "answer of "+name, func() bool {
+			p := w.complete("serves-"+name, v, 20, true)
+			<-p.done
+			if !p.whole && (p.status != http.StatusServiceUnavailable || p.run != "not-run") {
+				ts.Fatalf("%s: status %d, run %q, failed %q", name, p.status, p.run, p.failed)
+			}
+			return p.whole
+		})
+	}
+}
+
+// cmdOrder starts an at-most-once call: order LABEL VM KEY.
+func cmdOrder(w *world, ts *testscript.TestScript, args []string) {
+	w.order(args[0], w.vm(ts, args[1]), args[2])
+}
+
+// cmdStreaming waits until a call has got so many events: streaming LABEL N.
+func cmdStreaming(w *world, ts *testscript.TestScript, args []string) {
+	p, least := w.calls[args[0]], int64(number(ts, args[1], 0))
+	await(ts, "events of "+args[0], func() bool { return p.events.Load() >= least })
+}
+
+// cmdExpect waits for an answer: expect LABEL FIELD=VALUE...
+func cmdExpect(w *world, ts *testscript.TestScript, args []string) {
+	p := w.calls[args[0]]
+	<-p.done
+	for name, want := range options(args[1:]) {
+		if got := p.field(name); got != want {
+			ts.Fatalf("%s: %s is %q, want %q (status %d, run %q, failed %q)", args[0], name, got, want, p.status, p.run, p.failed)
+		}
+	}
+}
+
+// cmdExecutions waits until the services have run a call so many times in all,
+// and fails if they have run it more often: executions KEY N.
+func cmdExecutions(w *world, ts *testscript.TestScript, args []string) {
+	count := func() (sum int) {
+		for _, s := range w.services {
+			sum += s.Executions(args[0])
+		}
+		return sum
+	}
+	want := number(ts, args[1], 0)
+	await(ts, "execution", func() bool { return count() >= want })
+	if got := count(); got != want {
+		ts.Fatalf("%d executions, want %d", got, want)
+	}
+}
+
+func admin(v *vm) adminv1.AdminService {
+	return adminv1.NewAdminServiceProtobufClient("http://"+v.settings.AdminAddress, http.DefaultClient)
+}
+
+// apply sends an edit and returns its outcome, unspecified without an answer.
+func apply(v *vm, edit *configv1.Edit) configv1.Outcome {
+	if edit == nil {
+		return configv1.Outcome_OUTCOME_UNSPECIFIED
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	response, err := admin(v).ApplyConfig(ctx, &adminv1.ApplyConfigRequest{Edit: edit})
+	if err != nil {
+		return configv1.Outcome_OUTCOME_UNSPECIFIED
+	}
+	return response.GetResult().GetOutcome()
+}
+
+// cmdEdit sets the heartbeat limit through a VM: edit VM VALUE [times=N]. The
+// values of several edits count upwards.
+func cmdEdit(w *world, ts *testscript.TestScript, args []string) {
+	v, first := w.vm(ts, args[0]), number(ts, args[1], 0)
+	for i := range number(ts, options(args[2:])["times"], 1) {
+		_, err := w.edit([]*vm{v}, first+i)
+		ts.Check(err)
+	}
+}
+
+// edit resends one edit under its ID, through one VM after the other, while it
+// has no answer, and makes a new one where another edit won. It returns the ID.
+func (w *world) edit(through []*vm, value int) (string, error) {
+	var edit *configv1.Edit
+	end := time.Now().Add(patience)
+	for try := 0; time.Now().Before(end); try++ {
+		v := through[try%len(through)]
+		if edit == nil {
+			edit = w.newEdit(v, value)
+		}
+		switch apply(v, edit) {
+		case configv1.Outcome_OUTCOME_ACCEPTED:
+			return edit.GetId(), nil
+		case configv1.Outcome_OUTCOME_CONFLICT:
+			edit = nil
+		}
+		time.Sleep(poll)
+	}
+	return "", fmt.Errorf("value %d was not accepted within %s", value, patience)
+}
+
+// newEdit makes an edit on the revision that the VM has now.
+func (w *world) newEdit(v *vm, value int) *configv1.Edit {
+	current, err := admin(v).GetConfig(context.Background(), &adminv1.GetConfigRequest{})
+	if err != nil {
+		return nil
+	}
+	section := &configv1.SectionEdit{Section: string(config.SectionLimits), Patch: fmt.Appendf(nil, `{"heartbeat_ms":%d}`, value)}
+	for _, s := range current.GetDocument().GetSections() {
+		if s.GetName() == section.Section {
+			section.BaseRevision = s.GetRevision()
+		}
+	}
+	return &configv1.Edit{Id: fmt.Sprint("edit-", w.edits.Add(1)), Sections: []*configv1.SectionEdit{section}}
+}
+
+// cmdInForce waits until a value is in force on the running VMs: in-force VALUE
+// [NAME]. The name of a VM or zone bounds where.
+func cmdInForce(w *world, ts *testscript.TestScript, args []string) {
+	want, where := number(ts, args[0], 0), "all"
+	if len(args) > 1 {
+		where = args[1]
+	}
+	for _, v := range w.match(where) {
+		if v.node == nil {
+			continue
+		}
+		await(ts, "value in force on "+v.settings.VM, func() bool {
+			s := v.node.Snapshot()
+			return s != nil && int(s.Document.Limits.HeartbeatMS) == want
+		})
+	}
+}
+
+// cmdWithdraw withdraws the key of the callers through a VM.
+func cmdWithdraw(w *world, ts *testscript.TestScript, args []string) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	request := &adminv1.WithdrawKeysRequest{Hashes: keyset.ToBytes([]keys.Hash{keys.Sum(callerKey)}), EditId: "withdrawal"}
+	_, err := admin(w.vm(ts, args[0])).WithdrawKeys(ctx, request)
+	ts.Check(err)
+}
+
+// cmdRefused waits until the VMs of a zone, or all, refuse the key.
+func cmdRefused(w *world, ts *testscript.TestScript, args []string) {
+	for _, v := range w.match(args[0]) {
+		if v.node == nil {
+			continue
+		}
+		await(ts, "refusal on "+v.settings.VM, func() bool {
+			p := w.complete(fmt.Sprint("probe-", v.settings.VM), v, 1, false)
+			<-p.done
+			return p.status == http.StatusUnauthorized
+		})
+	}
+}
