--- a/internal/daemon/distribution.go
+++ b/internal/daemon/distribution.go
@@ -26,9 +26,7 @@
 	// configCheckInterval is how often a VM asks another for news. It is well
 	// under the 5 s in which a configuration has to be in force.
 	configCheckInterval = 2 * time.Second
-	// persistInterval bounds how often the snapshot file is written.
-	persistInterval = time.Second
-	configFile      = "configuration.state"
+	configFile          = "configuration.state"
 	// anyRevision is reached by every configuration.
 	anyRevision = 1
 )
@@ -46,10 +44,9 @@
 	// raised is closed and replaced when the revision rises.
 	raised chan struct{}
 
-	// applied, push, persist and hints wake the duties.
+	// applied, push and hints wake the duties.
 	applied chan struct{}
 	push    chan struct{}
-	persist chan struct{}
 	hints   chan hint
 }
 
@@ -71,7 +68,6 @@
 		raised:  make(chan struct{}),
 		applied: make(chan struct{}, 1),
 		push:    make(chan struct{}, 1),
-		persist: make(chan struct{}, 1),
 		hints:   make(chan hint, hintQueue),
 	}
 	d.state.Store(sections.NewState())
@@ -97,9 +93,6 @@
 		d.check(ctx)
 		every(ctx, configCheckInterval, func() { d.check(ctx) })
 	})
-	if n.settings.DataFolder != "" {
-		n.duty(d.keepFile)
-	}
 	if n.settings.DocumentFile != "" {
 		n.duty(d.proposeFirstDocument)
 	}
@@ -114,19 +107,21 @@
 	}
 }
 
-// adopt puts state in force if its revision is higher than the present one.
+// adopt puts state in force if its revision is higher than the present one. The
+// snapshot file comes first, so that a crash right afterwards does not revert
+// the configuration of a zone that restarts while it is cut off.
 func (d *distribution) adopt(state *sections.State) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if state.Revision <= d.state.Load().Revision {
 		return false
 	}
+	d.saveFile(state)
 	snapshot := config.NewSnapshot(state.Document, state.Revision)
 	d.state.Store(state)
 	d.node.snapshot.Store(snapshot)
 	close(d.raised)
 	d.raised = make(chan struct{})
-	wake(d.persist)
 	d.node.logger.Info("configuration in force", zap.Uint64("revision", state.Revision))
 	return true
 }
@@ -201,27 +196,13 @@
 	return filepath.Join(d.node.settings.DataFolder, configFile)
 }
 
-// keepFile writes the snapshot file after changes.
-func (d *distribution) keepFile(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-d.persist:
-		}
-		d.saveFile()
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(persistInterval):
-		}
-	}
-}
-
 // saveFile leaves the history out: a restarted VM answers pulls with the whole
 // document until it has seen new changes, and the file stays small.
-func (d *distribution) saveFile() {
-	data, err := proto.Marshal(d.state.Load().EncodeDocument())
+func (d *distribution) saveFile(state *sections.State) {
+	if d.node.settings.DataFolder == "" {
+		return
+	}
+	data, err := proto.Marshal(state.EncodeDocument())
 	if err == nil {
 		err = statefile.Write(d.file(), data)
 	}
--- a/internal/daemon/distribution_test.go
+++ b/internal/daemon/distribution_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"os"
 	"path/filepath"
 	"sync"
 	"testing"
 
+	"github.com/cuminwing/cuminwing/internal/adapter/statefile"
 	"github.com/cuminwing/cuminwing/internal/config"
 	"github.com/cuminwing/cuminwing/internal/control/sections"
 	"github.com/cuminwing/cuminwing/internal/settings"
@@ -225,3 +227,26 @@
 		t.Fatalf("document is %s, want %s", got, expected)
 	}
 }
+
+// Guards against a VM with a disk that reverts to an older configuration when
+// it crashes just after a newer one was in force.
+func TestConfigurationInForceIsOnDisk(t *testing.T) {
+	c := newTestCluster(t, 2, 1)
+	voter := c.start(0, "muc-a", nil)
+	n := c.start(1, "nue-a", func(s *settings.Settings) { s.DataFolder = t.TempDir() })
+	c.awaitMembers()
+	revision := wantAccepted(t, applyFirst(t, voter, clusterDocument("")))
+	for i := range 5 {
+		revision = wantAccepted(t, applyEdit(t, voter, rateEdit(fmt.Sprint("e", i), revision, 20+i)))
+	}
+	await(t, "last revision", func() bool { return n.Snapshot() != nil && n.Snapshot().Revision == revision })
+	n.Close()
+	data, err := statefile.Read(n.distribution.file())
+	if err != nil {
+		t.Fatal(err)
+	}
+	state, err := decodeFile(data)
+	if err != nil || state.Revision != revision {
+		t.Fatalf("the file holds %+v (%v), want revision %d", state, err, revision)
+	}
+}
