Count the queue's deadline from when a request is queued

Change: the first-token limit counts from the moment of queueing; the wait for the rate has max_wait_ms.

--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -65,7 +65,7 @@
 		Weight:        max(call.Snapshot.Document.Workspaces[call.Workspace].Weight, config.DefaultWeight),
 		Class:         call.Route.Class,
 		PrefillTokens: call.Route.CostTokens,
-		Deadline:      call.startBy(),
+		Deadline:      call.startBy(f.service.Clock()),
 	})
 	if refusal != nil {
 		return f.interrupted(ctx, refusal)
--- a/internal/serving/service.go
+++ b/internal/serving/service.go
@@ -81,7 +81,7 @@
 		Class:         call.Route.Class,
 		PrefillTokens: call.PromptTokens,
 		DecodeTokens:  call.MaxTokens,
-		Deadline:      call.startBy(),
+		Deadline:      call.startBy(start),
 	})
 	if refusal != nil {
 		return r.interrupted(ctx, refusal)
@@ -98,11 +98,12 @@
 	return refusal
 }
 
-// startBy is when a target must have the request. A caller that waits longer
-// than the stall limit of the first token is better served by a refusal, which
-// it can take elsewhere.
-func (c *Call) startBy() time.Time {
-	limit := c.Received.Add(c.Route.FirstTokenTimeout())
+// startBy is when a target must have a request that is queued at now. A caller
+// that waits longer than the stall limit of the first token is better served by
+// a refusal, which it can take elsewhere. The wait for the rate has a limit of
+// its own and does not count.
+func (c *Call) startBy(now time.Time) time.Time {
+	limit := now.Add(c.Route.FirstTokenTimeout())
 	if limit.Before(c.Deadline) {
 		return limit
 	}
