--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -14,6 +14,7 @@
 	"github.com/cuminwing/cuminwing/internal/control/keyset"
 	"github.com/cuminwing/cuminwing/internal/control/sections"
 	"github.com/cuminwing/cuminwing/internal/keys"
+	"github.com/cuminwing/cuminwing/internal/loopback"
 	"github.com/cuminwing/cuminwing/internal/standin"
 	adminv1 "github.com/cuminwing/cuminwing/proto/admin/v1"
 	configv1 "github.com/cuminwing/cuminwing/proto/config/v1"
@@ -167,7 +168,7 @@
 
 // cmdService starts a replica of a plain service: service NAME ID ZONE.
 func cmdService(w *world, args []string) {
-	address, err := testAddress()
+	address, err := loopback.Address()
 	w.Check(err)
 	id, zone := args[1], args[2]
 	s, err := standin.StartService(address, standin.ServiceOptions{ID: id, Zone: zone, Region: regions[zone], Service: args[0], Announce: w.announceTo(zone)})
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -4,8 +4,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
@@ -17,6 +15,7 @@
 	"github.com/cuminwing/cuminwing/internal/config"
 	"github.com/cuminwing/cuminwing/internal/daemon"
 	"github.com/cuminwing/cuminwing/internal/keys"
+	"github.com/cuminwing/cuminwing/internal/loopback"
 	"github.com/cuminwing/cuminwing/internal/settings"
 	"github.com/cuminwing/cuminwing/internal/standin"
 )
@@ -113,7 +112,7 @@
 func (w *world) plan(zone string, slot int) error {
 	s := settings.Settings{VM: fmt.Sprintf("%s-%d", zone, slot), Zone: zone, Region: regions[zone], Slot: slot}
 	for _, a := range []*string{&s.CallerAddress, &s.TargetAddress, &s.PeerAddress, &s.GossipAddress, &s.AdminAddress} {
-		address, err := testAddress()
+		address, err := loopback.Address()
 		if err != nil {
 			return err
 		}
@@ -158,33 +157,3 @@
 	}
 	return urls
 }
-
-// Ports of tests lie below the range from which the system takes the ports of
-// outgoing connections, which may occupy a port between its choice and its use.
-const (
-	firstTestPort = 20000
-	testPorts     = 12000
-)
-
-var nextTestPort atomic.Uint32
-
-func init() { nextTestPort.Store(rand.Uint32N(testPorts)) }
-
-// testAddress returns an address that is free for TCP and UDP.
-func testAddress() (string, error) {
-	for range testPorts {
-		address := fmt.Sprint("127.0.0.1:", firstTestPort+nextTestPort.Add(1)%testPorts)
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		l.Close()
-		p, err := net.ListenPacket("udp", address)
-		if err != nil {
-			continue
-		}
-		p.Close()
-		return address, nil
-	}
-	return "", fmt.Errorf("no free port")
-}
