--- a/internal/cli/report_html.go
+++ b/internal/cli/report_html.go
@@ -19,8 +19,10 @@
 
 // Size of one plot.
 const (
-	plotWidth  = 14 * vg.Centimeter
-	plotHeight = 4 * vg.Centimeter
+	plotWidth  = 26 * vg.Centimeter
+	plotHeight = 5 * vg.Centimeter
+	// plotMargin keeps the last label of the horizontal axis whole.
+	plotMargin = 12
 	// maxPlots bounds the page; the rows with the highest burn come first in
 	// the table anyway.
 	maxPlots = 40
@@ -112,7 +114,7 @@
 	}
 	p := plot.New()
 	p.X.Label.Text = "minutes ago"
-	p.Y.Label.Text = "bad events (%)"
+	p.Y.Label.Text = "bad (%)"
 	p.X.Min, p.X.Max = -float64(len(row.GetLastHour())), 0
 	line, scatter, err := plotter.NewLinePoints(points)
 	if err != nil {
@@ -142,7 +144,7 @@
 // inside HTML. The text of plots is our own, so it needs no escaping.
 func renderSVG(p *plot.Plot) (template.HTML, error) {
 	canvas := vgsvg.New(plotWidth, plotHeight)
-	p.Draw(draw.New(canvas))
+	p.Draw(draw.Crop(draw.New(canvas), 0, -vg.Points(plotMargin), 0, 0))
 	var buf bytes.Buffer
 	if _, err := canvas.WriteTo(&buf); err != nil {
 		return "", err
