--- a/internal/adapter/callerhttp/answer.go
+++ b/internal/adapter/callerhttp/answer.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cuminwing/cuminwing/internal/config"
 	"github.com/cuminwing/cuminwing/internal/serving"
 )
--- a/internal/adapter/callerhttp/decode.go
+++ b/internal/adapter/callerhttp/decode.go
@@ -5,11 +5,12 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"errors"
 	"io"
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cuminwing/cuminwing/internal/config"
 	"github.com/cuminwing/cuminwing/internal/serving"
 )
--- a/internal/adapter/callerhttp/scrub.go
+++ b/internal/adapter/callerhttp/scrub.go
@@ -4,13 +4,14 @@
 	"bytes"
 	"encoding/base64"
 	"encoding/hex"
-	"errors"
 	"io"
 	"net/http"
 	"net/textproto"
 	"net/url"
 	"strings"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cuminwing/cuminwing/internal/config"
 	"github.com/cuminwing/cuminwing/internal/keys"
 )
--- a/internal/adapter/callerhttp/service.go
+++ b/internal/adapter/callerhttp/service.go
@@ -2,12 +2,13 @@
 
 import (
 	"bytes"
-	"errors"
 	"io"
 	"net/http"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cuminwing/cuminwing/internal/adapter/targethttp"
 	"github.com/cuminwing/cuminwing/internal/config"
 	"github.com/cuminwing/cuminwing/internal/serving"
--- a/internal/adapter/callerhttp/whole.go
+++ b/internal/adapter/callerhttp/whole.go
@@ -4,10 +4,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"net/http"
 	"slices"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cuminwing/cuminwing/internal/serving"
 )
 
--- a/internal/adapter/disk/file.go
+++ b/internal/adapter/disk/file.go
@@ -1,10 +1,11 @@
 package disk
 
 import (
-	"errors"
 	"io"
 	"os"
 	"path/filepath"
+
+	"github.com/cockroachdb/errors"
 )
 
 // File is an open file that is written. Tests replace it to inject faults.
--- a/internal/adapter/disk/record.go
+++ b/internal/adapter/disk/record.go
@@ -2,10 +2,10 @@
 
 import (
 	"encoding/binary"
-	"errors"
 	"fmt"
 	"hash/crc32"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"github.com/cuminwing/cuminwing/internal/raft"
--- a/internal/adapter/disk/store.go
+++ b/internal/adapter/disk/store.go
@@ -4,13 +4,14 @@
 
 import (
 	"encoding/binary"
-	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
 	"syscall"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cuminwing/cuminwing/internal/raft"
 )
 
--- a/internal/adapter/gossip/codec.go
+++ b/internal/adapter/gossip/codec.go
@@ -4,10 +4,10 @@
 import (
 	"crypto/hmac"
 	"crypto/sha256"
-	"errors"
 	"fmt"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/cuminwing/cuminwing/internal/membership"
--- a/internal/adapter/gossip/conn.go
+++ b/internal/adapter/gossip/conn.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"expvar"
 	"net"
 	"net/netip"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cuminwing/cuminwing/internal/membership"
 	"github.com/cuminwing/cuminwing/internal/target"
 )
--- a/internal/adapter/peertls/peertls.go
+++ b/internal/adapter/peertls/peertls.go
@@ -6,7 +6,6 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
-	"errors"
 	"expvar"
 	"fmt"
 	"net"
@@ -17,6 +16,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cuminwing/cuminwing/internal/settings"
 )
 
--- a/internal/adapter/replica/calls.go
+++ b/internal/adapter/replica/calls.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync/atomic"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cuminwing/cuminwing/internal/control"
 	"github.com/cuminwing/cuminwing/internal/raft"
 )
--- a/internal/adapter/replica/log.go
+++ b/internal/adapter/replica/log.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptrace"
@@ -10,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cuminwing/cuminwing/internal/control"
 	"github.com/cuminwing/cuminwing/internal/raft"
 	raftv1 "github.com/cuminwing/cuminwing/proto/raft/v1"
--- a/internal/adapter/replica/replica.go
+++ b/internal/adapter/replica/replica.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"path/filepath"
@@ -12,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cuminwing/cuminwing/internal/adapter/disk"
 	"github.com/cuminwing/cuminwing/internal/control"
 	"github.com/cuminwing/cuminwing/internal/raft"
--- a/internal/adapter/replica/server.go
+++ b/internal/adapter/replica/server.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"errors"
+
+	"github.com/cockroachdb/errors"
 
 	"github.com/cuminwing/cuminwing/internal/control"
 	"github.com/cuminwing/cuminwing/internal/raft"
--- a/internal/adapter/statefile/statefile.go
+++ b/internal/adapter/statefile/statefile.go
@@ -5,11 +5,12 @@
 
 import (
 	"encoding/binary"
-	"errors"
 	"fmt"
 	"hash/crc32"
 	"os"
 	"path/filepath"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Layout of the header: magic, format version, CRC-32C of the payload and
--- a/internal/adapter/targethttp/engine.go
+++ b/internal/adapter/targethttp/engine.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -14,6 +13,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cuminwing/cuminwing/internal/serving"
 	"github.com/cuminwing/cuminwing/internal/target"
 )
--- a/internal/adapter/targethttp/events.go
+++ b/internal/adapter/targethttp/events.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,6 +12,8 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cuminwing/cuminwing/internal/serving"
 )
 
--- a/internal/adapter/targethttp/orders.go
+++ b/internal/adapter/targethttp/orders.go
@@ -4,11 +4,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cuminwing/cuminwing/internal/target"
 )
 
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/twitchtv/twirp"
 
 	adminv1 "github.com/cuminwing/cuminwing/proto/admin/v1"
--- a/internal/cli/config_get.go
+++ b/internal/cli/config_get.go
@@ -1,10 +1,10 @@
 package cli
 
 import (
-	"errors"
 	"io"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
 
 	"github.com/cuminwing/cuminwing/internal/config"
 )
--- a/internal/cli/config_validate.go
+++ b/internal/cli/config_validate.go
@@ -1,11 +1,11 @@
 package cli
 
 import (
-	"errors"
 	"fmt"
 	"io"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
 
 	"github.com/cuminwing/cuminwing/internal/config"
 )
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cuminwing/cuminwing/internal/config"
 	"github.com/cuminwing/cuminwing/internal/daemon"
 	"github.com/cuminwing/cuminwing/internal/loadgen"
--- a/internal/cli/keys_withdraw.go
+++ b/internal/cli/keys_withdraw.go
@@ -3,13 +3,13 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"os"
 	"strings"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
 
 	"github.com/cuminwing/cuminwing/internal/control/keyset"
 	"github.com/cuminwing/cuminwing/internal/keys"
--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -10,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cuminwing/cuminwing/internal/config"
 	"github.com/cuminwing/cuminwing/internal/daemon"
 	"github.com/cuminwing/cuminwing/internal/loadgen"
--- a/internal/cli/report_burn.go
+++ b/internal/cli/report_burn.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	burnv1 "github.com/cuminwing/cuminwing/proto/burn/v1"
 )
 
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -2,9 +2,10 @@
 
 import (
 	"bytes"
-	"errors"
 	"fmt"
 	"os"
+
+	"github.com/cockroachdb/errors"
 )
 
 // InvalidError lists why a document is refused.
--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -4,12 +4,12 @@
 	"bytes"
 	_ "embed"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"strconv"
 	"strings"
 	"sync"
 
+	"github.com/cockroachdb/errors"
 	"github.com/santhosh-tekuri/jsonschema/v6"
 	"golang.org/x/text/language"
 	"golang.org/x/text/message"
--- a/internal/config/sections.go
+++ b/internal/config/sections.go
@@ -3,10 +3,11 @@
 import (
 	"bytes"
 	"encoding/json"
-	"errors"
 	"io"
 	"maps"
 	"slices"
+
+	"github.com/cockroachdb/errors"
 )
 
 // KnownSection reports whether the document has a section s.
--- a/internal/control/log.go
+++ b/internal/control/log.go
@@ -5,7 +5,8 @@
 
 import (
 	"context"
-	"errors"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Kind selects the part of the state machine that a command is for.
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -2,11 +2,11 @@
 
 import (
 	"encoding/binary"
-	"errors"
 	"fmt"
 	"sort"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/encoding/protowire"
 )
 
--- a/internal/daemon/cachereader.go
+++ b/internal/daemon/cachereader.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/cuminwing/cuminwing/internal/adapter/targethttp"
--- a/internal/daemon/distribution.go
+++ b/internal/daemon/distribution.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"os"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
--- a/internal/daemon/distribution_pull.go
+++ b/internal/daemon/distribution_pull.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/cuminwing/cuminwing/internal/control/sections"
--- a/internal/daemon/distribution_test.go
+++ b/internal/daemon/distribution_test.go
@@ -104,6 +104,8 @@
 	revision := wantAccepted(t, applyFirst(t, voter, clusterDocument("")))
 	file := filepath.Join(folder, configFile)
 	await(t, "file is written", func() bool { _, err := os.Stat(file); return err == nil })
+	// The file is written before the configuration is in force.
+	await(t, "revision in force", func() bool { return n.Snapshot() != nil && n.Snapshot().Revision == revision })
 	want := encoded(t, n.distribution.state.Load().EncodeDocument())
 	n.Close()
 	c.partition(1, true)
--- a/internal/daemon/inforce.go
+++ b/internal/daemon/inforce.go
@@ -4,9 +4,9 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"errors"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -14,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/cuminwing/cuminwing/internal/adapter/callerhttp"
--- a/internal/daemon/observer.go
+++ b/internal/daemon/observer.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"os"
 	"path/filepath"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
--- a/internal/daemon/peertls.go
+++ b/internal/daemon/peertls.go
@@ -1,10 +1,11 @@
 package daemon
 
 import (
-	"errors"
 	"net/http"
 	"net/netip"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cuminwing/cuminwing/internal/adapter/peertls"
 )
 
--- a/internal/daemon/usage.go
+++ b/internal/daemon/usage.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
--- a/internal/idempotency/client.go
+++ b/internal/idempotency/client.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"crypto/sha256"
-	"errors"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/cuminwing/cuminwing/internal/control"
--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -3,11 +3,12 @@
 package loopback
 
 import (
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"sync"
+
+	"github.com/cockroachdb/errors"
 )
 
 // The ports lie below the range from which the system takes the ports of
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -167,6 +167,7 @@
 	switch m.Kind {
 	case KindProbe:
 		c.send(from, c.answer(now, &m))
+		c.learnZones(now, from, m.Zones)
 	case KindAck:
 		c.acknowledged(m.Sequence)
 	case KindProbeRequest:
--- a/internal/membership/core_test.go
+++ b/internal/membership/core_test.go
@@ -166,6 +166,30 @@
 	})
 }
 
+// Guards against a VM that stays unknown to another zone after a cut, a leave
+// and crashes: two zones that never knew each other, while a third knew both.
+func TestAgreementAfterCutLeaveAndCrashes(t *testing.T) {
+	t.Parallel()
+	s := newSim(t, 0, 3, 4)
+	whole := s.lose
+	cut := s.vms[5].member.Zone
+	s.lose = func(from, to *vm) bool { return (from.member.Zone == cut) != (to.member.Zone == cut) }
+	s.run(17156 * time.Millisecond)
+	s.deliver(s.vms[0], s.vms[0].core.Leave(s.now))
+	s.at(0, func() { s.vms[0].core = nil })
+	s.run(11762 * time.Millisecond)
+	s.vms[1].core = nil
+	s.run(151 * time.Millisecond)
+	lossy := s.vms[6]
+	s.lose = func(from, to *vm) bool { return from == lossy || s.rand.IntN(4) == 0 }
+	s.run(10748 * time.Millisecond)
+	s.vms[4].core = nil
+	s.run(7518 * time.Millisecond)
+	s.lose = whole
+	s.start(s.vms[0])
+	s.until(2*healLimit, "agreement", s.agreed)
+}
+
 // Guards against bytes per VM that grow with the fleet. The zones hold 3, 12,
 // 30 and 44 VMs, as in the figures of the design.
 func BenchmarkBytesPerNode(b *testing.B) {
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -36,7 +36,8 @@
 	Sequence uint64
 	// Subject is the gossip address to probe; KindProbeRequest only.
 	Subject string
-	// Zones lists the zones asked for, none for all; KindSyncRequest only.
+	// Zones lists the zones asked for, none for all, in a KindSyncRequest, and
+	// now and then the zones that the sender knows, in a KindProbe of a delegate.
 	Zones []string
 	// PullBack asks the receiver to ask for the sender's state in turn.
 	PullBack bool
--- a/internal/membership/zones.go
+++ b/internal/membership/zones.go
@@ -65,10 +65,47 @@
 	d := c.digest(now)
 	c.spreadDigest(d, now.Add(-d.Targets.Age))
 	probe := Message{Kind: KindProbe, Digests: []Digest{d}}
+	if c.digestNumber%zonesEvery == 0 {
+		probe.Zones = c.knownZones()
+	}
 	c.toOtherZones(func(e *entry) { c.send(e.GossipAddress, probe) })
 	c.probeSilentZones(now, probe)
 }
 
+// zonesEvery is how many digests go by between two lists of zones.
+const zonesEvery = 8
+
+// knownZones lists the zones of which this VM knows live members.
+func (c *Core) knownZones() []string {
+	zones := []string{c.self.Zone}
+	for _, zone := range c.otherZones() {
+		if c.knowsLive(zone) {
+			zones = append(zones, zone)
+		}
+	}
+	return zones
+}
+
+func (c *Core) knowsLive(zone string) bool {
+	for _, e := range c.members {
+		if e.Zone == zone && e.live() {
+			return true
+		}
+	}
+	return false
+}
+
+// learnZones asks for the members of zones that are unknown here. Two zones
+// that were cut off before they knew each other have no other way to meet, even
+// if a third one knows both.
+func (c *Core) learnZones(now time.Time, from string, zones []string) {
+	for _, zone := range zones {
+		if zone != c.self.Zone && !c.knowsLive(zone) {
+			c.requestSync(now, from, []string{zone}, false)
+		}
+	}
+}
+
 // toOtherZones calls f for the delegates of every other zone.
 func (c *Core) toOtherZones(f func(*entry)) {
 	for _, zone := range c.otherZones() {
--- a/internal/raft/members.go
+++ b/internal/raft/members.go
@@ -1,11 +1,11 @@
 package raft
 
 import (
-	"errors"
 	"fmt"
 	"slices"
 	"strings"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/encoding/protowire"
 )
 
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -4,8 +4,9 @@
 package raft
 
 import (
-	"errors"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // EntryKind tells what an entry holds.
--- a/internal/retry/health.go
+++ b/internal/retry/health.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cuminwing/cuminwing/internal/serving"
 	"github.com/cuminwing/cuminwing/internal/target"
 )
--- a/internal/serving/forward.go
+++ b/internal/serving/forward.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cuminwing/cuminwing/internal/config"
 	"github.com/cuminwing/cuminwing/internal/target"
 )
--- a/internal/serving/forward_once.go
+++ b/internal/serving/forward_once.go
@@ -3,8 +3,9 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
+
+	"github.com/cockroachdb/errors"
 )
 
 // runOnce runs a call of an at-most-once route.
--- a/internal/serving/once.go
+++ b/internal/serving/once.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // MaxStoredAnswer is the largest answer that is kept for resends.
--- a/internal/serving/ports.go
+++ b/internal/serving/ports.go
@@ -6,12 +6,13 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cuminwing/cuminwing/internal/config"
 	"github.com/cuminwing/cuminwing/internal/keys"
 	"github.com/cuminwing/cuminwing/internal/prefix"
--- a/internal/serving/refusal.go
+++ b/internal/serving/refusal.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // ErrCallerGone is matched by results of attempts that ended with the caller.
--- a/internal/serving/run.go
+++ b/internal/serving/run.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cuminwing/cuminwing/internal/config"
 	"github.com/cuminwing/cuminwing/internal/stream"
 	"github.com/cuminwing/cuminwing/internal/target"
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,13 +6,14 @@
 import (
 	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Settings are the static settings of one VM.
--- a/internal/stream/tracker.go
+++ b/internal/stream/tracker.go
@@ -6,7 +6,8 @@
 
 import (
 	"bytes"
-	"errors"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Event is what the tracker needs to know of one event.
--- a/internal/stream/trim.go
+++ b/internal/stream/trim.go
@@ -2,7 +2,8 @@
 
 import (
 	"encoding/json"
-	"errors"
+
+	"github.com/cockroachdb/errors"
 )
 
 var errNoText = errors.New("event has no text to trim")
