--- a/internal/loadgen/plan.go
+++ b/internal/loadgen/plan.go
@@ -51,21 +51,20 @@
 }
 
 func pickWorkspace(p *Profile, rng *rand.Rand) int {
-	x := rng.Float64()
-	for i, w := range p.Workspaces {
-		if x -= w.Share; x < 0 {
-			return i
-		}
-	}
-	return len(p.Workspaces) - 1
+	return pickShare(rng, p.Workspaces, func(w Workspace) float64 { return w.Share })
 }
 
 func pickModel(p *Profile, rng *rand.Rand) int {
+	return pickShare(rng, p.Models, func(m Model) float64 { return m.Share })
+}
+
+// pickShare returns the index of a random item, by the shares of the items.
+func pickShare[T any](rng *rand.Rand, items []T, share func(T) float64) int {
 	x := rng.Float64()
-	for i, m := range p.Models {
-		if x -= m.Share; x < 0 {
+	for i, item := range items {
+		if x -= share(item); x < 0 {
 			return i
 		}
 	}
-	return len(p.Models) - 1
+	return len(items) - 1
 }
