Open the control log again after a disk was full

Cause: a member of the core made no promises for the rest of its life after its first failed write.

Change: RunCore opens the control log again, half a second after a failure, because what a failed write has left is not known until it is read again. A damaged log still ends the process. TestDisksThatFillInTurnLeaveTheCoreWhole fails without it.

--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cuminwing/cuminwing/internal/adapter/boottime"
+	"github.com/cuminwing/cuminwing/internal/adapter/disk"
 	"github.com/cuminwing/cuminwing/internal/adapter/metrics"
 	"github.com/cuminwing/cuminwing/internal/adapter/replica"
 	"github.com/cuminwing/cuminwing/internal/adapter/sockopt"
@@ -18,6 +19,7 @@
 	"github.com/cuminwing/cuminwing/internal/fleet"
 	"github.com/cuminwing/cuminwing/internal/fleetsync"
 	"github.com/cuminwing/cuminwing/internal/gateway"
+	"github.com/cuminwing/cuminwing/internal/pause"
 	"github.com/cuminwing/cuminwing/internal/raft"
 	"github.com/cuminwing/cuminwing/internal/ratelimit"
 	raftv1 "github.com/cuminwing/cuminwing/proto/raft/v1"
@@ -31,6 +33,8 @@
 	readTimeout = 900 * time.Millisecond
 	// dialTimeout bounds the set-up of a connection to another VM.
 	dialTimeout = 400 * time.Millisecond
+	// reopenPause is the time from a failure of the disk to the next attempt.
+	reopenPause = 500 * time.Millisecond
 	// stopTimeout bounds the end of the servers.
 	stopTimeout = 1500 * time.Millisecond
 )
@@ -86,6 +90,10 @@
 	ctx       context.Context
 	cancel    context.CancelFunc
 	duties    sync.WaitGroup
+	disk      disk.Options
+	// failed is closed once the control log has failed.
+	failed   chan struct{}
+	failOnce sync.Once
 
 	mu sync.Mutex
 	// changed is closed and replaced at each change of the state or role.
@@ -101,15 +109,39 @@
 	Logger  *zap.Logger
 	Decode  Decoder
 	Engines EngineAPI
+	// Disk replaces how files are opened, in tests.
+	Disk disk.Options
 	// Control serves operators and targets; it is given the core.
 	Control func(*Core) http.Handler
 }
 
-// RunCore runs a core process until ctx ends.
+// errLogFailed means that the files of the control log could not be written or
+// opened. They are read again, because what a failed write has left is not
+// known.
+var errLogFailed = errors.New("control log failed")
+
+// RunCore runs a core process until ctx ends. After a failure of the disk the
+// control log is opened again: a member that stayed away would leave the core
+// without a majority at the next failure.
 func RunCore(ctx context.Context, s Settings, options CoreOptions) error {
+	serveMetrics(&s, options.Logger)
+	for {
+		err := runCore(ctx, s, options)
+		if err == nil || !errors.Is(err, errLogFailed) {
+			return err
+		}
+		options.Logger.Warn("control log is opened again", zap.Duration("after", reopenPause), zap.Error(err))
+		if !pause.For(ctx, reopenPause) {
+			return nil
+		}
+	}
+}
+
+// runCore runs until ctx ends or the control log fails.
+func runCore(ctx context.Context, s Settings, options CoreOptions) error {
 	c := &Core{
-		settings: s, logger: options.Logger, decode: options.Decode, engines: options.Engines,
-		document: &gateway.Part{}, fleet: fleet.NewPart(), changed: make(chan struct{}),
+		settings: s, logger: options.Logger, decode: options.Decode, engines: options.Engines, disk: options.Disk,
+		document: &gateway.Part{}, fleet: fleet.NewPart(), changed: make(chan struct{}), failed: make(chan struct{}),
 		client: peerClient(),
 	}
 	// The duties outlive ctx, so that the leadership can be handed over.
@@ -121,7 +153,6 @@
 	if err := c.openReplica(); err != nil {
 		return err
 	}
-	serveMetrics(&s, c.logger)
 	c.addGauges()
 	c.confirmer = newConfirmer(c.confirm)
 	c.duty(c.confirmer.run)
@@ -134,9 +165,22 @@
 		return err
 	}
 	c.logger.Info("core started", zap.Bool("first_start", s.FirstStart), zap.String("replica", c.replica.Status().ID))
-	<-ctx.Done()
-	c.stop(servers)
-	return nil
+	select {
+	case <-ctx.Done():
+		c.stop(servers)
+		return nil
+	case <-c.failed:
+	}
+	closeAll(servers)
+	return errors.Mark(c.replica.Status().Failure, errLogFailed)
+}
+
+func closeAll(servers []*http.Server) {
+	for _, s := range servers {
+		// The connections are broken off on purpose: their callers go on to
+		// another member at once.
+		_ = s.Close()
+	}
 }
 
 // addGauges publishes what this member knows.
@@ -169,12 +213,13 @@
 func (c *Core) openReplica() error {
 	id, bootstrap, err := identity(&c.settings)
 	if err != nil {
-		return errors.Wrap(err, "read the identity of the replica")
+		return errors.Mark(errors.Wrap(err, "read the identity of the replica"), errLogFailed)
 	}
 	url := func(address string) string { return "http://" + address }
 	r, err := replica.Open(replica.Config{
 		ID:        id,
 		Folder:    c.settings.DataFolder,
+		Disk:      c.disk,
 		Bootstrap: bootstrap,
 		Parts:     map[control.Kind]control.Part{control.KindDocument: c.document, control.KindFleet: c.fleet},
 		Transport: &replica.Peers{Self: c.settings.ownPeer(), URL: url, Client: c.client, Start: c.duty},
@@ -182,9 +227,13 @@
 		Steady:    boottime.Now,
 		OnChange:  c.observe,
 	})
-	if err != nil {
+	var corrupt *disk.CorruptError
+	if errors.As(err, &corrupt) {
 		return errors.Wrap(err, "open the control log")
 	}
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, "open the control log"), errLogFailed)
+	}
 	c.replica = r
 	c.log = &replica.Log{Replica: r, Voters: firstVoters(&c.settings), URL: url, Client: c.client}
 	c.duty(r.Run)
@@ -205,7 +254,8 @@
 	c.mu.Unlock()
 	c.notify()
 	if s.Failure != nil {
-		c.logger.Error("control log failed; this replica makes no promises until it is restarted", zap.Error(s.Failure))
+		c.logger.Error("control log failed; this replica makes no promises until it is opened again", zap.Error(s.Failure))
+		c.failOnce.Do(func() { close(c.failed) })
 		return
 	}
 	c.logger.Info("control log changed", zap.String("role", s.Role.String()), zap.String("leader", s.Leader),
--- a/internal/edge/system_test.go
+++ b/internal/edge/system_test.go
@@ -9,14 +9,18 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/cuminwing/cuminwing/internal/adapter/disk"
 	"github.com/cuminwing/cuminwing/internal/fleet"
 	"github.com/cuminwing/cuminwing/internal/forward"
 	"github.com/cuminwing/cuminwing/internal/gateway"
@@ -70,6 +74,26 @@
 	core     *Core
 	stop     context.CancelFunc
 	done     chan error
+	// full makes every write fail.
+	full atomic.Bool
+}
+
+// fullDisk is a file on a disk that takes no bytes while full is set.
+type fullDisk struct {
+	disk.File
+	full *atomic.Bool
+}
+
+func (f fullDisk) Write(b []byte) (int, error) {
+	if f.full.Load() {
+		return 0, syscall.ENOSPC
+	}
+	return f.File.Write(b)
+}
+
+func (c *runningCore) open(name string, flag int) (disk.File, error) {
+	file, err := os.OpenFile(name, flag|os.O_CREATE, 0o600)
+	return fullDisk{file, &c.full}, err
 }
 
 // nextHost numbers the loopback addresses of this test process.
@@ -126,7 +150,15 @@
 	go func() {
 		c.done <- RunCore(ctx, c.settings, CoreOptions{
 			Logger: zap.NewNop(), Decode: decodeJSON, Engines: idleEngines{},
-			Control: func(core *Core) http.Handler { ready <- core; return http.NotFoundHandler() },
+			Disk: disk.Options{Open: c.open},
+			Control: func(core *Core) http.Handler {
+				select {
+				case ready <- core:
+				default:
+					// The control log was opened again.
+				}
+				return http.NotFoundHandler()
+			},
 		})
 	}()
 	select {
@@ -409,3 +441,30 @@
 		}
 	}
 }
+
+// Guards against a core that loses its majority because disks were full one
+// after the other: each member stayed away after its first failed write.
+func TestDisksThatFillInTurnLeaveTheCoreWhole(t *testing.T) {
+	d := newDeployment(t, 3)
+	ctx := context.Background()
+	version := uint64(1)
+	put := func() error {
+		for _, c := range d.cores {
+			if err := c.core.PutDocument(ctx, document(version, "k1")); err == nil {
+				return nil
+			}
+		}
+		return errors.New("no member of the core takes the document")
+	}
+	eventually(t, "first document", put)
+	for i, c := range d.cores {
+		c.full.Store(true)
+		version++
+		eventually(t, fmt.Sprintf("document with the disk of core %d full", i), put)
+		time.Sleep(300 * time.Millisecond)
+		c.full.Store(false)
+		version++
+		eventually(t, fmt.Sprintf("document after the disk of core %d was full", i), put)
+		time.Sleep(2 * reopenPause)
+	}
+}
