Fetch shared parts of prompts from the stores

The parts in use are about twice what the engines keep, but fit into the stores of KV cache, which were not used.

Change: each request with shared parts asks the store of its engine's region, chosen by rendezvous hashing; the engine saves parts there that no front has saved within 30 s, because a store that restarts is empty and tells nobody. A flag in the entries between fronts says what is saved. The cache scope names the weights and the isolated workspace, as for fetches between engines.

--- a/internal/edge/frontsync.go
+++ b/internal/edge/frontsync.go
@@ -21,7 +21,8 @@
 	syncTimeout = fleetsync.Hold + 700*time.Millisecond
 	// idlePart is the part of the connections that a target accepts which the
 	// fronts keep idle; the rest is for bursts and for other callers.
-	idlePart = 0.7
+	idlePart    = 0.7
+	msPerSecond = 1000
 	// syncPause is the pause after a core VM that could not help.
 	syncPause = 60 * time.Millisecond
 )
@@ -180,9 +181,29 @@
 		targets[t.Service] = append(targets[t.Service], p)
 	}
 	f.placer.Update(targets)
+	f.placer.UpdateStores(f.stores(table))
 	f.pool.SetLimits(limits)
 }
 
+// stores lists the stores of the document.
+func (f *Front) stores(table *gateway.Table) []placement.Store {
+	if table == nil {
+		return nil
+	}
+	var list []placement.Store
+	for i := range table.Document.Services {
+		s := table.Document.Services[i].Store
+		if s == nil || s.Rate <= 0 {
+			continue
+		}
+		list = append(list, placement.Store{
+			Address: s.Address, Zone: s.Zone, Region: f.settings.Regions[s.Zone], Tokens: s.Tokens,
+			TokenMS: table.TokenBytes() / s.Rate * msPerSecond,
+		})
+	}
+	return list
+}
+
 func (f *Front) placeable(t fleet.Target) placement.Target {
 	return placement.Target{
 		ID: t.ID, Address: t.Address, Zone: t.Zone, Region: f.settings.Regions[t.Zone],
--- a/internal/forward/ports.go
+++ b/internal/forward/ports.go
@@ -51,8 +51,11 @@
 	Scope string
 	// Weights is the version that the engine must run; 0 takes any.
 	Weights uint64
-	// FetchFrom is the address of an engine that holds parts of the prompt.
+	// FetchFrom is the address of an engine or store that holds parts of the
+	// prompt.
 	FetchFrom string
+	// SaveTo is the address of a store that takes what the engine reads.
+	SaveTo string
 	// ResumeAfter is the last event that was delivered.
 	ResumeAfter string
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -191,7 +191,11 @@
 	}
 	a.Weights = s.choice.Target.Weights
 	a.Scope = s.scope() + "-" + strconv.FormatUint(a.Weights, 10)
-	if s.choice.Source != nil && a.Weights > 0 {
+	if a.Weights == 0 {
+		return
+	}
+	a.SaveTo = s.choice.Save
+	if s.choice.Source != nil {
 		a.FetchFrom = s.choice.Source.Address
 	}
 }
--- a/internal/gateway/document.go
+++ b/internal/gateway/document.go
@@ -67,7 +67,19 @@
 type EngineLimits struct {
 	// CacheTokens is the memory for running requests and cached parts.
 	CacheTokens int
-	Models      []string
+	// TokenBytes is the size of a token in that memory.
+	TokenBytes float64
+	Models     []string
+}
+
+// Store keeps parts of prompts for the engines and gets no requests.
+type Store struct {
+	Address string
+	Zone    string
+	// Tokens is its memory.
+	Tokens int
+	// Rate is that of its link, in bytes a second.
+	Rate float64
 }
 
 // Service is a group of equal targets.
@@ -77,8 +89,8 @@
 	MaxConnections int
 	// Engine is nil for a plain service.
 	Engine *EngineLimits
-	// StoreAddress is set for a store of KV cache, which gets no requests.
-	StoreAddress string
+	// Store is set for a store of KV cache.
+	Store *Store
 }
 
 // Workspace is one customer.
@@ -265,6 +277,18 @@
 	return 0
 }
 
+// TokenBytes returns the largest size of a token in the memory of engines; 0
+// if no service has engines.
+func (t *Table) TokenBytes() float64 {
+	size := 0.0
+	for _, s := range t.services {
+		if s.Engine != nil {
+			size = max(size, s.Engine.TokenBytes)
+		}
+	}
+	return size
+}
+
 // Owner returns the workspace that owns a key, or nil. The key is compared by
 // its hash, so that the time does not depend on how much of it matches.
 func (t *Table) Owner(key string) *Workspace { return t.keys[sha256.Sum256([]byte(key))] }
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -101,9 +101,12 @@
 	CachedTokens int
 	// Home is set if all VMs expect the shared parts here.
 	Home bool
-	// Source is a target from which more of the prompt can be fetched; nil if
-	// none is believed to hold more.
+	// Source is an engine or store from which more of the prompt can be
+	// fetched; nil if there is none.
 	Source *Target
+	// Save is the address of a store that takes what the engine reads; empty
+	// if the engine holds the shared parts already.
+	Save string
 	// Expected is the expected time to the first byte of the answer.
 	Expected time.Duration
 
@@ -158,6 +161,7 @@
 	wake   chan struct{}
 	// engines finds members by engineHash.
 	engines map[uint32]*member
+	stores  []*store
 }
 
 // New returns a placer without targets.
@@ -231,7 +235,7 @@
 		if !usable(m, want, desperate) {
 			continue
 		}
-		c := p.assess(s, m, home, want)
+		c := p.assess(s, m, home, want, now)
 		cost := p.roundTrip(m) + c.prefill + m.wait(now) + m.backlog(now) + m.failed(now)*failureMS
 		if want.Prefer > m.Weights && m.Weights > 0 {
 			cost += staleMS
@@ -249,16 +253,10 @@
 }
 
 // assess returns m as a choice with the work that the prompt means there.
-func (p *Placer) assess(s *service, m, home *member, want *Want) *Choice {
+func (p *Placer) assess(s *service, m, home *member, want *Want, now time.Time) *Choice {
 	cached := m.cached(want)
 	c := &Choice{Target: m.Target, CachedTokens: cached, Home: m == home, member: m}
-	fetched, fetch := 0, 0.0
-	if source := m.source(s, want, cached); source != nil {
-		fetched = source.cached(want) - cached
-		fetch = fetchSetupMS + float64(fetched)*perToken(m, source)
-		target := source.Target
-		c.Source = &target
-	}
+	fetched, fetch := p.fetch(c, s, want, now)
 	all := total(want.Parts)
 	c.inserted = float64(all - cached)
 	c.prefill = prefillMS(all-cached-fetched, cached+fetched) + fetch
@@ -355,8 +353,11 @@
 	for _, part := range want.Parts {
 		m.parts[uint32(part.ID)] = m.inserted
 	}
+	if c.Save != "" {
+		p.saved(now, m, hashes(want.shared()), c.inserted)
+	}
 	if len(want.Parts) > 0 {
-		p.announce(m, c.prefill, c.inserted, want.shared())
+		p.announce(c, want.shared())
 	}
 	if len(m.parts) > maxParts {
 		m.forget()
--- a/internal/placement/sent.go
+++ b/internal/placement/sent.go
@@ -19,6 +19,9 @@
 	// 16 bits, and the number of parts, which follow as 32-bit hashes.
 	entryHeader = 9
 	blockTokens = 16
+	// savedFlag in the number of parts says that the engine saves them to the
+	// store of its region.
+	savedFlag = 0x80
 	// lostWork in place of the work says that the engine could not be reached.
 	lostWork  = math.MaxUint16
 	partBytes = 4
@@ -41,19 +44,19 @@
 }
 
 // announce queues an entry for the other fronts.
-func (p *Placer) announce(m *member, workMS, inserted float64, shared []Part) {
-	work := uint16(min(max(workMS, 0), lostWork-1))
-	blocks := uint16(min(max(inserted/blockTokens, 0), math.MaxUint16))
-	p.queue(m, work, blocks, shared)
+func (p *Placer) announce(c *Choice, shared []Part) {
+	work := uint16(min(max(c.prefill, 0), lostWork-1))
+	blocks := uint16(min(max(c.inserted/blockTokens, 0), math.MaxUint16))
+	p.queue(c.member, work, blocks, shared, c.Save != "")
 }
 
 // announceLost tells the other fronts that an engine could not be reached. Each
 // of them finds out by itself when it can be.
-func (p *Placer) announceLost(m *member) { p.queue(m, lostWork, 0, nil) }
+func (p *Placer) announceLost(m *member) { p.queue(m, lostWork, 0, nil, false) }
 
-func (p *Placer) queue(m *member, work, blocks uint16, shared []Part) {
+func (p *Placer) queue(m *member, work, blocks uint16, shared []Part, saved bool) {
 	n := entryHeader + partBytes*len(shared)
-	if len(shared) > math.MaxUint8 || n > maxPacket {
+	if len(shared) >= savedFlag || n > maxPacket {
 		return
 	}
 	last := len(p.outbox) - 1
@@ -67,7 +70,11 @@
 	b := binary.LittleEndian.AppendUint32(p.outbox[last], engineHash(m.ID, m.Weights))
 	b = binary.LittleEndian.AppendUint16(b, work)
 	b = binary.LittleEndian.AppendUint16(b, blocks)
-	b = append(b, byte(len(shared)))
+	count := byte(len(shared))
+	if saved {
+		count |= savedFlag
+	}
+	b = append(b, count)
 	for _, part := range shared {
 		b = binary.LittleEndian.AppendUint32(b, uint32(part.ID))
 	}
@@ -96,31 +103,53 @@
 	defer p.mu.Unlock()
 	now := p.Clock()
 	for len(packet) >= entryHeader {
-		size := entryHeader + partBytes*int(packet[entryHeader-1])
+		size := entryHeader + partBytes*int(packet[entryHeader-1]&^savedFlag)
 		if len(packet) < size {
 			return
 		}
 		if m := p.engines[binary.LittleEndian.Uint32(packet)]; m != nil {
-			m.hint(now, packet[:size])
+			p.hint(m, now, packet[:size])
 		}
 		packet = packet[size:]
 	}
 }
 
-func (m *member) hint(now time.Time, entry []byte) {
+func (p *Placer) hint(m *member, now time.Time, entry []byte) {
 	work := binary.LittleEndian.Uint16(entry[4:])
 	if work == lostWork {
 		m.paused = true
 		return
 	}
 	m.load(now, float64(work))
-	m.inserted += blockTokens * float64(binary.LittleEndian.Uint16(entry[6:]))
-	m.hold(entry[entryHeader:])
+	read := blockTokens * float64(binary.LittleEndian.Uint16(entry[6:]))
+	parts := decodeParts(entry[entryHeader:])
+	m.inserted += read
+	m.hold(parts)
+	if entry[entryHeader-1]&savedFlag != 0 {
+		p.saved(now, m, parts, read)
+	}
+}
+
+func decodeParts(b []byte) []uint32 {
+	parts := make([]uint32, 0, len(b)/partBytes)
+	for ; len(b) >= partBytes; b = b[partBytes:] {
+		parts = append(parts, binary.LittleEndian.Uint32(b))
+	}
+	return parts
+}
+
+// hashes returns what entries call parts.
+func hashes(parts []Part) []uint32 {
+	list := make([]uint32, len(parts))
+	for i, part := range parts {
+		list[i] = uint32(part.ID)
+	}
+	return list
 }
 
-func (m *member) hold(parts []byte) {
-	for ; len(parts) >= partBytes; parts = parts[partBytes:] {
-		m.parts[binary.LittleEndian.Uint32(parts)] = m.inserted
+func (m *member) hold(parts []uint32) {
+	for _, part := range parts {
+		m.parts[part] = m.inserted
 	}
 	if len(m.parts) > maxParts {
 		m.forget()
