Take an engine that starts again for a new one; keep its stated weights

Cause: a review of placement: adopt compared address and ID only, so the parts of an engine that had started again under its ID still counted as held. A version that an engine stated, lower than the registry's, was replaced by the registry's at the next update, and each request was refused again.

Change: the target carries the start of its incarnation, and a statement stands until the registry changes.

--- a/internal/edge/frontsync.go
+++ b/internal/edge/frontsync.go
@@ -207,7 +207,7 @@
 func (f *Front) placeable(t fleet.Target) placement.Target {
 	return placement.Target{
 		ID: t.ID, Address: t.Address, Zone: t.Zone, Region: f.settings.Regions[t.Zone],
-		Closed: t.Draining, Gone: t.Draining, Weights: t.Weights,
+		Closed: t.Draining, Gone: t.Draining, Weights: t.Weights, Started: t.Started,
 	}
 }
 
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -65,6 +65,9 @@
 	// Closed targets get no new requests. Gone ones are about to end.
 	Closed bool
 	Gone   bool
+	// Started is the start of the incarnation: an engine may start again under
+	// its ID.
+	Started int64
 	// Weights is the version of the model that the engine runs.
 	Weights uint64
 	// CacheTokens is the memory of the engine; 0 if it is not known.
@@ -123,6 +126,9 @@
 type member struct {
 	Target
 	hash uint64
+	// registered is the version of the weights in the registry; Weights may be
+	// what the engine itself has stated since.
+	registered uint64
 	// inflight counts requests of this VM.
 	inflight int
 	// backlogMS is the prompt work of all VMs that the engine had not done as
@@ -193,14 +199,18 @@
 
 // adopt keeps what is known of an incarnation. New weights empty its cache.
 func adopt(m *member, t Target) *member {
-	if m == nil || m.Address != t.Address {
-		return &member{Target: t, hash: xxhash.Sum64String(t.ID), parts: make(map[uint32]float64)}
+	if m == nil || m.Address != t.Address || m.Started != t.Started {
+		return &member{Target: t, registered: t.Weights, hash: xxhash.Sum64String(t.ID), parts: make(map[uint32]float64)}
 	}
-	if m.Weights < t.Weights {
+	weights := m.Weights
+	if t.Weights != m.registered {
+		// The engine's own statement may be newer than the registry.
+		weights = max(t.Weights, m.Weights)
+	}
+	m.registered, t.Weights = t.Weights, weights
+	if m.Weights != weights {
 		m.parts = make(map[uint32]float64)
 	}
-	// An engine's own statement may be newer than the registry.
-	t.Weights = max(t.Weights, m.Weights)
 	m.Target = t
 	return m
 }
