Take over a leadership with the whole log applied

The logs show role leader at commit 0 after the end of all processes: a replica does not keep what was committed, and the divider of rates was made at the election, before the entries with the spending were applied. The workspace then spent its rate again within the same window.

Change: a leadership begins once a barrier has passed; calls of fronts wait for that. TestSpendingOutlastsTheEndOfTheWholeCore failed before with 0 spent where 301 were recorded.

--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -33,6 +33,9 @@
 	readTimeout = 900 * time.Millisecond
 	// dialTimeout bounds the set-up of a connection to another VM.
 	dialTimeout = 400 * time.Millisecond
+	// takeOverPause is the time to the next attempt of a new leader to reach a
+	// quorum.
+	takeOverPause = 50 * time.Millisecond
 	// reopenPause is the time from a failure of the disk to the next attempt.
 	reopenPause = 500 * time.Millisecond
 	// stopTimeout bounds the end of the servers.
@@ -248,8 +251,8 @@
 		c.leading, c.divider, c.fronts = 0, nil, nil
 	case c.leading == 0:
 		c.leading = boottime.Now()
-		c.fronts = fleetsync.NewFronts()
-		c.divider = ratelimit.NewDivider(c.leading, c.settings.Bounds.Quota.Window, c.fleet.Current().Spent)
+		elected := c.leading
+		c.duty(func(ctx context.Context) { c.takeOver(ctx, elected) })
 	}
 	c.mu.Unlock()
 	c.notify()
@@ -283,11 +286,47 @@
 	fronts  *fleetsync.Fronts
 }
 
-// leadership reports whether this replica leads.
+// leadership reports whether this replica leads and has taken over.
 func (c *Core) leadership() (leadership, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return leadership{c.leading, c.divider, c.fronts}, c.leading > 0
+	return leadership{c.leading, c.divider, c.fronts}, c.divider != nil
+}
+
+// takeOver begins a leadership once the state contains all that was committed
+// before it: after a start a replica does not know how much of its log is, and
+// what workspaces have spent would be missing.
+func (c *Core) takeOver(ctx context.Context, elected time.Duration) {
+	for c.elected(elected) {
+		limited, cancel := context.WithTimeout(ctx, readTimeout)
+		err := c.confirm(limited)
+		cancel()
+		if err == nil {
+			c.begin(elected)
+			return
+		}
+		c.logger.Info("leader does not have the whole state yet", zap.Error(err))
+		if !pause.For(ctx, takeOverPause) {
+			return
+		}
+	}
+}
+
+// elected reports whether this replica leads since its election at a time.
+func (c *Core) elected(at time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leading == at
+}
+
+func (c *Core) begin(elected time.Duration) {
+	c.mu.Lock()
+	if c.leading == elected {
+		c.fronts = fleetsync.NewFronts()
+		c.divider = ratelimit.NewDivider(boottime.Now(), c.settings.Bounds.Quota.Window, c.fleet.Current().Spent)
+	}
+	c.mu.Unlock()
+	c.notify()
 }
 
 // serve starts the servers for peers and for operators and targets.
--- a/internal/edge/coresync.go
+++ b/internal/edge/coresync.go
@@ -49,7 +49,7 @@
 }
 
 func (c *Core) sync(ctx context.Context, received time.Duration, request fleetsync.Request) (fleetsync.Response, error) {
-	led, leading := c.leadership()
+	led, leading := c.awaitLeadership(ctx)
 	if !leading {
 		return fleetsync.Response{Leader: c.leaderAddress(), Core: c.coreAddresses()}, nil
 	}
@@ -73,6 +73,25 @@
 	return response, nil
 }
 
+// awaitLeadership waits while this replica has been elected and has not taken
+// over.
+func (c *Core) awaitLeadership(ctx context.Context) (leadership, bool) {
+	for {
+		changed := c.change()
+		led, leading := c.leadership()
+		if leading || led.since == 0 {
+			return led, leading
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return led, false
+		case <-c.ctx.Done():
+			return led, false
+		}
+	}
+}
+
 // await returns when something has changed for the front, or after the hold.
 func (c *Core) await(ctx context.Context, request fleetsync.Request) {
 	timer := time.NewTimer(fleetsync.Hold)
--- a/internal/edge/system_test.go
+++ b/internal/edge/system_test.go
@@ -20,6 +20,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/cuminwing/cuminwing/internal/adapter/boottime"
 	"github.com/cuminwing/cuminwing/internal/adapter/disk"
 	"github.com/cuminwing/cuminwing/internal/fleet"
 	"github.com/cuminwing/cuminwing/internal/forward"
@@ -468,3 +469,49 @@
 		time.Sleep(2 * reopenPause)
 	}
 }
+
+// Guards against spending that is forgotten when all members of the core start
+// again: the leader divided the rates before it had applied its log, and a
+// workspace could spend its rate twice within a window.
+func TestSpendingOutlastsTheEndOfTheWholeCore(t *testing.T) {
+	d := newDeployment(t, 3)
+	ctx := context.Background()
+	eventually(t, "document", func() error { return d.cores[0].core.PutDocument(ctx, document(1, "k1")) })
+	target := fleet.Target{ID: "t1", Service: "s", Address: echo(t), Zone: "z", Started: 1}
+	eventually(t, "target", func() error { return d.cores[0].core.Announce(ctx, target) })
+	front, _ := d.startFront()
+	eventually(t, "first answer", wantStatus(front, "k1", 200))
+	for range 300 {
+		if _, err := ask(front, "k1"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var recorded float64
+	eventually(t, "record of the spending", func() error {
+		recorded = d.cores[0].core.fleet.Current().Spent["w"].Spent
+		if recorded < 250 {
+			return fmt.Errorf("%v is recorded", recorded)
+		}
+		return nil
+	})
+	for _, c := range d.cores {
+		d.halt(c)
+	}
+	for _, c := range d.cores {
+		c.settings.FirstStart = false
+		d.start(c)
+	}
+	eventually(t, "leader", func() error {
+		for _, c := range d.cores {
+			led, leading := c.core.leadership()
+			if !leading {
+				continue
+			}
+			if total := led.divider.Totals(boottime.Now())["w"].Spent; total < recorded {
+				t.Fatalf("the leader starts with %v spent, %v was recorded", total, recorded)
+			}
+			return nil
+		}
+		return errors.New("no core leads")
+	})
+}
