--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -320,12 +320,14 @@
 }
 
 func (c *Core) begin(elected time.Duration) {
+	spent := c.fleet.Current().Spent
 	c.mu.Lock()
 	if c.leading == elected {
 		c.fronts = fleetsync.NewFronts()
-		c.divider = ratelimit.NewDivider(boottime.Now(), c.settings.Bounds.Quota.Window, c.fleet.Current().Spent)
+		c.divider = ratelimit.NewDivider(boottime.Now(), c.settings.Bounds.Quota.Window, spent)
 	}
 	c.mu.Unlock()
+	c.logger.Info("leadership taken over", zap.Duration("after", boottime.Now()-elected), zap.Any("spent", spent))
 	c.notify()
 }
 
