--- a/internal/adapter/targethttp/contract_test.go
+++ b/internal/adapter/targethttp/contract_test.go
@@ -57,7 +57,6 @@
 // Guards against faults of a target that are taken for an answer, for another
 // fault, or wait longer than the limit. It is the contract of serving.Engines.
 func TestEnginesContract(t *testing.T) {
-	var status *serving.StatusError
 	for _, c := range []struct {
 		name    string
 		handler http.HandlerFunc
@@ -67,7 +66,10 @@
 		{"whole answer", write(event, "data: [DONE]\n\n"), 2, func(err error) bool { return err == nil }},
 		{"silent", stall, 0, func(err error) bool { return errors.Is(err, serving.ErrStalled) }},
 		{"status 503", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Retry-After", "7"); w.WriteHeader(503) }, 0,
-			func(err error) bool { return errors.As(err, &status) && status.RetryAfter == 7*time.Second }},
+			func(err error) bool {
+				var status *serving.StatusError
+				return errors.As(err, &status) && status.RetryAfter == 7*time.Second
+			}},
 		{"stall between events", func(w http.ResponseWriter, r *http.Request) { write(event)(w, r); stall(w, r) }, 1,
 			func(err error) bool { return errors.Is(err, serving.ErrStalled) }},
 		{"end without marker", write(event), 1, func(err error) bool { return errors.Is(err, io.ErrUnexpectedEOF) }},
