Give each call of the routing test an ID of its own

All calls had the ID "r": a stream that is closed early sends a cancel message in the background, which ended the next call of that ID at the engine. A fault of the test.

Change: calls are numbered, and an error of the stream fails the test, which is stricter than before.

--- a/internal/daemon/routing_test.go
+++ b/internal/daemon/routing_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -84,9 +85,13 @@
 	return e
 }
 
+// nextCall numbers calls: the late cancel message of one ends another that has
+// its ID.
+var nextCall atomic.Int64
+
 func promptCall(workspace, prompt string) *serving.Call {
 	doc := config.Document{Models: map[string]config.Model{"m": {ServingVersion: "v1", BlockTokens: 10, KVBytesPerToken: 1000}}}
-	call := &serving.Call{ID: "r", Workspace: workspace, Model: "m", Version: "v1", Snapshot: config.NewSnapshot(doc, 1)}
+	call := &serving.Call{ID: fmt.Sprint("r", nextCall.Add(1)), Workspace: workspace, Model: "m", Version: "v1", Snapshot: config.NewSnapshot(doc, 1)}
 	call.Route.FirstTokenTimeoutMS, call.Route.TokenGapTimeoutMS = 5000, 5000
 	call.Path, call.Prompt = "/v1/completions", prompt
 	call.Body = []byte(fmt.Sprintf(`{"prompt":%q,"max_tokens":1}`, prompt))
@@ -108,6 +113,9 @@
 	}
 	defer stream.Close()
 	chunk, err := stream.Next(5 * time.Second)
+	if err != nil {
+		t.Errorf("answer of %s: %v", pick.Target.ID, err)
+	}
 	pick.Done(serving.AttemptResult{Err: err, CachedTokens: chunk.CachedTokens})
 	return pick.Target.ID, chunk.CachedTokens
 }
