Tell fronts which stores are lost

Each request waits for the engine's vain fetch.

Change: the leader connects to each store each 0.3 s; after two failures in a row it tells the fronts, whose calls return at once for that. They leave the store out, and take it for empty when it is back.

--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -90,6 +90,7 @@
 	log       *replica.Log
 	client    *http.Client
 	confirmer *confirmer
+	stores    *storeWatch
 	ctx       context.Context
 	cancel    context.CancelFunc
 	duties    sync.WaitGroup
@@ -145,7 +146,7 @@
 	c := &Core{
 		settings: s, logger: options.Logger, decode: options.Decode, engines: options.Engines, disk: options.Disk,
 		document: &gateway.Part{}, fleet: fleet.NewPart(), changed: make(chan struct{}), failed: make(chan struct{}),
-		client: peerClient(),
+		client: peerClient(), stores: newStoreWatch(),
 	}
 	// The duties outlive ctx, so that the leadership can be handed over.
 	c.ctx, c.cancel = context.WithCancel(context.WithoutCancel(ctx))
@@ -163,6 +164,7 @@
 	c.duty(c.join)
 	c.duty(c.updateWeights)
 	c.duty(c.recordSpending)
+	c.duty(c.watchStores)
 	servers, err := c.serve(options.Control(c))
 	if err != nil {
 		return err
--- a/internal/edge/coresync.go
+++ b/internal/edge/coresync.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -98,7 +99,8 @@
 	defer timer.Stop()
 	for {
 		changed := c.change()
-		news := c.document.Current().Version > request.Document || c.fleet.Current().Revision > request.Revision
+		news := c.document.Current().Version > request.Document || c.fleet.Current().Revision > request.Revision ||
+			!slices.Equal(c.stores.lost(), request.StoresLost)
 		if _, leading := c.leadership(); news || !leading {
 			return
 		}
@@ -115,6 +117,7 @@
 }
 
 func (c *Core) fill(response *fleetsync.Response, request fleetsync.Request) {
+	response.StoresLost = c.stores.lost()
 	if stored := c.document.Current(); stored.Version > request.Document {
 		response.Document = stored.Version
 		response.Raw = stored.Raw
--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -81,6 +81,8 @@
 	stale    *staleness
 	// pendingWeights is set while an engine has older weights than named.
 	pendingWeights bool
+	// storesLost are the stores that the leader cannot reach.
+	storesLost []string
 	// leader is the one that has answered last.
 	leader leaderView
 	synced chan struct{}
--- a/internal/edge/frontsync.go
+++ b/internal/edge/frontsync.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -68,7 +69,7 @@
 	state := f.state.Load()
 	request := fleetsync.Request{
 		VM: f.settings.VM, Incarnation: f.started, Revision: f.registry.Revision,
-		Now: state.Table != nil && !f.granted.Load(), Address: f.settings.ownPeer(), Region: f.settings.Region, Fronts: f.peers.version(),
+		Now: state.Table != nil && !f.granted.Load(), Address: f.settings.ownPeer(), Region: f.settings.Region, Fronts: f.peers.version(), StoresLost: f.storesLost,
 	}
 	if state.Table != nil {
 		request.Document = state.Table.Document.Version
@@ -109,6 +110,11 @@
 	// The quorum has confirmed the leader after the call was sent.
 	next.Confirmed = max(next.Confirmed, sent+time.Duration(response.ConfirmedAfterMS*float64(time.Millisecond)))
 	f.peers.update(response.Fronts, response.FrontsVersion)
+	if !slices.Equal(response.StoresLost, f.storesLost) {
+		f.storesLost = response.StoresLost
+		f.logger.Info("stores changed", zap.Strings("lost", f.storesLost))
+		f.placer.UpdateStores(f.stores(next.Table))
+	}
 	if d := response.Fleet; d != nil && d.Revision > f.registry.Revision {
 		f.registry = f.registry.Merge(*d)
 		next.Weights = f.registry.Weights
@@ -185,7 +191,7 @@
 	f.pool.SetLimits(limits)
 }
 
-// stores lists the stores of the document.
+// stores lists the stores of the document that can be reached.
 func (f *Front) stores(table *gateway.Table) []placement.Store {
 	if table == nil {
 		return nil
@@ -193,7 +199,7 @@
 	var list []placement.Store
 	for i := range table.Document.Services {
 		s := table.Document.Services[i].Store
-		if s == nil || s.Rate <= 0 {
+		if s == nil || s.Rate <= 0 || slices.Contains(f.storesLost, s.Address) {
 			continue
 		}
 		list = append(list, placement.Store{
--- a/internal/edge/system_test.go
+++ b/internal/edge/system_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"encoding/json"
-
 	"fmt"
 	"io"
 	"net"
--- a/internal/fleetsync/message.go
+++ b/internal/fleetsync/message.go
@@ -31,6 +31,8 @@
 	Region  string `json:"region"`
 	// Fronts is the version of the list of fronts that the front knows.
 	Fronts uint64 `json:"fronts,omitempty"`
+	// StoresLost are the stores that the front knows to be lost.
+	StoresLost []string `json:"stores_lost,omitempty"`
 }
 
 // Response is the leader's answer, or names the leader.
@@ -57,6 +59,8 @@
 	FrontsVersion uint64   `json:"fronts_version,omitempty"`
 	// LeaderAgeMS is for how long the leader has led.
 	LeaderAgeMS float64 `json:"leader_age_ms,omitempty"`
+	// StoresLost are the addresses of stores that cannot be reached, in order.
+	StoresLost []string `json:"stores_lost,omitempty"`
 	// VMs is the number of fronts that follow the leader.
 	VMs int `json:"vms,omitempty"`
 }
