Limit what is read of a target's response

Cause: http.ReadResponse reads headers without a limit, a buffered body was cut at 32 MiB without an error, and an event of many short lines had no limit. A refusal without a request ID on a used connection counted as proof that the request had not run, although it may answer an earlier one.

Change: a head is limited to 64 KiB, interim responses to 16, discarded bodies to 64 KiB, events to 1 MiB; a body over its limit is an error, and all buffered bodies share a quarter of the memory of the process. A connection that is left in the middle of a response is closed. On a used connection a refusal without an ID leaves the outcome open.

--- a/internal/adapter/targetconn/pool.go
+++ b/internal/adapter/targetconn/pool.go
@@ -64,6 +64,7 @@
 	Reader *bufio.Reader
 	// Reused is true if the connection has carried a request before.
 	Reused  bool
+	limiter *headLimiter
 	address string
 	// expires is when the idle connection must no longer be used, because the
 	// target may close it.
@@ -89,7 +90,6 @@
 		}
 		idle := now.Sub(c.expires.Add(-c.idleTimeout))
 		if now.Before(c.expires) && idle < maxIdleTime && c.reusable() {
-			c.Reused = true
 			return c
 		}
 		_ = c.Conn.Close()
@@ -138,7 +138,8 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return &Conn{Conn: conn, Reader: bufio.NewReaderSize(conn, readBufferBytes), address: address}, nil
+	limiter := &headLimiter{conn: conn}
+	return &Conn{Conn: conn, Reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter, address: address}, nil
 }
 
 // Probe opens a connection and adds it to the pool for the next request.
@@ -160,6 +161,7 @@
 		return
 	}
 	_ = c.SetDeadline(time.Time{})
+	c.Reused = true
 	p.putIdle(c, idleTimeout)
 }
 
@@ -238,3 +240,16 @@
 	defer p.mu.Unlock()
 	return p.opened
 }
+
+// TakeAllIdle removes all idle connections from the pool and returns them. The
+// caller must close them.
+func (p *Pool) TakeAllIdle() []*Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var all []*Conn
+	for address, list := range p.idle {
+		all = append(all, list...)
+		delete(p.idle, address)
+	}
+	return all
+}
--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -50,6 +50,9 @@
 	// targetProbeInterval is the time between two probes of an unreachable
 	// target. The next request reuses the connection that a probe opens.
 	targetProbeInterval = 300 * time.Millisecond
+	// bodyMemoryFraction is the fraction of the process's memory that the buffered
+	// bodies of requests and responses may take together.
+	bodyMemoryFraction = 0.25
 	// sweepInterval is the time between two sweeps of the idle connections.
 	sweepInterval = time.Second
 	// defaultMaxHeaderBytes limits the headers of a request if the document
@@ -165,12 +168,22 @@
 	f.handler = &proxy.Handler{
 		Codec: options.Codec, State: f.servingState,
 		Placer: f.placer, Quota: f.shares, Pool: f.pool, Logger: f.logger, BootClock: boottime.Now,
+		Memory:   bodyMemory(&s),
 		KeyLease: s.Guarantees.KeyRevocation - keyValidityMargin, StateExpected: f.stateExpected, Stopping: f.stopping.Load, Observe: f.recordRequest,
 		Budget: &proxy.Budget{Ratio: s.Guarantees.RetryRatio, Slack: s.Guarantees.RetrySlack, Window: s.Guarantees.RetryWindow},
 	}
 	return f
 }
 
+// bodyMemory returns the budget for bodies; nil if the memory of the process is not
+// limited.
+func bodyMemory(s *Settings) *proxy.MemoryBudget {
+	if s.MemoryBytes <= 0 {
+		return nil
+	}
+	return proxy.NewMemoryBudget(int64(bodyMemoryFraction * float64(s.MemoryBytes)))
+}
+
 // kindLabels are the names of the run kinds in metrics.
 var kindLabels = map[gatewayconfig.RunKind]string{
 	gatewayconfig.RunOnce: "once", gatewayconfig.RunIdempotent: "idempotent", gatewayconfig.RunStream: "stream",
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"bytes"
 	"strconv"
+
+	"github.com/cockroachdb/errors"
 )
 
 // maxEventBytes limits the size of one event of a stream, which is buffered.
@@ -23,6 +25,10 @@
 	buf []byte
 }
 
+// errEventTooLarge means that an event exceeds maxEventBytes. The stream cannot be
+// continued after it.
+var errEventTooLarge = errors.Newf("an event of the stream exceeds %d bytes", maxEventBytes)
+
 // next returns the next complete event. At the end of the stream it returns the
 // bytes after the last complete event, if any, with the error.
 func (r *eventReader) next() (event, error) {
@@ -30,7 +36,10 @@
 	for {
 		line, err := r.src.ReadSlice('\n')
 		r.buf = append(r.buf, line...)
-		if err == bufio.ErrBufferFull && len(r.buf) < maxEventBytes {
+		if len(r.buf) > maxEventBytes {
+			return event{id: -1}, errEventTooLarge
+		}
+		if err == bufio.ErrBufferFull {
 			continue
 		}
 		if err != nil {
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -25,6 +24,8 @@
 	Quota  Quota
 	Budget *Budget
 	Pool   *targetconn.Pool
+	// Memory limits the memory for bodies of requests and responses.
+	Memory *MemoryBudget
 	Logger *zap.Logger
 	// BootClock returns the time of a clock that continues during a suspension.
 	BootClock func() time.Duration
@@ -83,6 +84,8 @@
 	deadline         time.Time
 	placementRequest placement.Request
 	chargedCost      float64
+	// reservedBytes is the part of the memory budget that the bodies take.
+	reservedBytes int64
 
 	// attempts counts the targets to which the request was offered,
 	// possibleRuns those that may have run it.
@@ -108,6 +111,7 @@
 	if h.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
+	defer func() { c.Memory.release(c.reservedBytes) }()
 	refused := c.admit()
 	if refused == nil {
 		refused = c.run()
@@ -230,16 +234,19 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	body, reserved, err := c.Memory.readBody(http.MaxBytesReader(c.w, c.r.Body, limit), limit)
 	if err != nil {
 		c.reason = err.Error()
 		var large *http.MaxBytesError
-		if errors.As(err, &large) {
+		switch {
+		case errors.As(err, &large) || errors.Is(err, errBodyOverLimit):
 			return &errBodyTooLarge
+		case errors.Is(err, errMemoryInUse):
+			return &errNoMemory
 		}
 		return &errIncompleteBody
 	}
-	c.body = body
+	c.body, c.reservedBytes = body, reserved
 	return nil
 }
 
--- a/internal/proxy/refusal.go
+++ b/internal/proxy/refusal.go
@@ -24,7 +24,7 @@
 	}
 	body, err := json.Marshal(map[string]string{"error": f.code, "request": id})
 	if err != nil {
-		panic("forward: refusal cannot be encoded: " + err.Error())
+		panic("proxy: refusal cannot be encoded: " + err.Error())
 	}
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(f.status)
@@ -48,6 +48,7 @@
 	errKeysNotConfirmed = refusal{http.StatusServiceUnavailable, "keys_not_confirmed", electionRetryAfter}
 	errNoTarget         = refusal{http.StatusServiceUnavailable, "no_target", targetRetryAfter}
 	errTargetsFull      = refusal{http.StatusServiceUnavailable, "targets_full", targetRetryAfter}
+	errNoMemory         = refusal{http.StatusServiceUnavailable, "no_memory", targetRetryAfter}
 	errNoRoute          = refusal{http.StatusNotFound, "no_route", 0}
 	errUnknownKey       = refusal{http.StatusUnauthorized, "unknown_key", 0}
 	errMalformedHeaders = refusal{http.StatusBadRequest, "malformed_headers", 0}
--- /dev/null
+++ b/internal/proxy/response.go
@@ -0,0 +1,108 @@
+package proxy
+
+import (
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+)
+
+var (
+	errOnlyStrayResponses = errors.New("target sent only responses to other requests")
+	errOwnerUnknown       = errors.New("target refused a request without its ID on a connection that was used before")
+)
+
+// readResponse returns the response to this request. Interim responses, and
+// responses to earlier requests on the connection, which have another request ID,
+// are skipped.
+func (s *exchange) readResponse() (*http.Response, Response, error) {
+	strays, interim := 0, 0
+	for strays < maxStrayResponses && interim < maxInterimResponses {
+		resp, err := s.conn.ReadHead(s.r.Method)
+		if err != nil {
+			return nil, Response{}, err
+		}
+		if resp.StatusCode < http.StatusOK {
+			interim++
+			continue
+		}
+		meta := s.Codec.DecodeResponse(resp.StatusCode, resp.Header, s.choice.Target.ID)
+		if meta.RequestID == s.request.ID {
+			return resp, meta, nil
+		}
+		if meta.RequestID == "" && meta.NotRun {
+			if s.conn.Reused {
+				// It may belong to an earlier request, so this one may run.
+				return nil, Response{}, errOwnerUnknown
+			}
+			return resp, meta, nil
+		}
+		strays++
+		s.Logger.Info("skipped response to an earlier request on the same connection", zap.String("id", s.request.ID), zap.String("target", s.targetID))
+		if err := s.skipBody(resp); err != nil {
+			return nil, Response{}, err
+		}
+	}
+	return nil, Response{}, errOnlyStrayResponses
+}
+
+// skipBody reads the rest of a response, so that the next one can be read from the
+// connection. It fails if that is not possible.
+func (s *exchange) skipBody(resp *http.Response) error {
+	if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return errOnlyStrayResponses
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardedBytes+1))
+	if err == nil && n > maxDiscardedBytes {
+		err = errBodyOverLimit
+	}
+	return err
+}
+
+// discard ends an attempt whose response the caller does not get. The connection
+// can be reused if the rest of the response is short.
+func (s *exchange) discard(resp *http.Response, result result) result {
+	s.reason = "target refused the request with " + resp.Status
+	if err := s.skipBody(resp); err == nil {
+		s.reusableAfter = resp
+	}
+	return result
+}
+
+// bufferedResponse is a response that was read completely.
+type bufferedResponse struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// forwardBuffered reads the complete response before the caller gets any of it.
+func (s *exchange) forwardBuffered(resp *http.Response, meta Response) result {
+	body, reserved, err := s.Memory.readBody(resp.Body, maxResponseBytes)
+	if err != nil {
+		s.reason = "reading response body failed: " + err.Error()
+		return resultBroken
+	}
+	s.reservedBytes += reserved
+	s.reusableAfter = resp
+	if !meta.Signed {
+		s.reason = "response without the target's signature"
+		s.reusableAfter = nil
+		return resultBroken
+	}
+	buffered := &bufferedResponse{resp.StatusCode, resp.Header, body}
+	if impliesNotRun(resp.StatusCode) {
+		// The target did not state that the request has not run, so the caller
+		// must not get a status that implies it.
+		s.reason = "target returned status " + resp.Status
+		return resultFailed
+	}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		s.reason = "target returned status " + resp.Status
+		s.failedResponse = buffered
+		return resultFailed
+	}
+	buffered.write(s.call)
+	return resultDelivered
+}
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -74,11 +74,11 @@
 	// response is read, because a target may respond before it has read the
 	// complete body.
 	concurrentBodyBytes = 8 << 10
-	// maxStrayResponses limits how many responses are read from a connection in
-	// search of the one to this request.
-	maxStrayResponses = 4
-	// maxResponseBytes limits a response that is buffered.
-	maxResponseBytes = 32 << 20
+	// maxStrayResponses and maxInterimResponses limit how many responses to other
+	// requests, and how many interim ones, are read from a connection in search of
+	// the one to this request.
+	maxStrayResponses   = 4
+	maxInterimResponses = 16
 )
 
 // send sends the request to one target and delivers the response.
@@ -274,75 +274,6 @@
 	}
 }
 
-// readResponse returns the response to this request. Responses to earlier
-// requests on the connection have another request ID and are skipped.
-func (s *exchange) readResponse() (*http.Response, Response, error) {
-	for range maxStrayResponses {
-		resp, err := http.ReadResponse(s.conn.Reader, &http.Request{Method: s.r.Method})
-		if err != nil {
-			return nil, Response{}, err
-		}
-		meta := s.Codec.DecodeResponse(resp.StatusCode, resp.Header, s.choice.Target.ID)
-		if meta.RequestID == s.request.ID || meta.RequestID == "" && meta.NotRun {
-			return resp, meta, nil
-		}
-		s.Logger.Info("skipped response to an earlier request on the same connection")
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes)); err != nil {
-			return nil, Response{}, err
-		}
-		if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-			break
-		}
-	}
-	return nil, Response{}, errors.New("target sent only responses to other requests")
-}
-
-// discard reads the rest of a response that the caller does not get, so that
-// the connection can be reused.
-func (s *exchange) discard(resp *http.Response, result result) result {
-	s.reason = "target refused the request with " + resp.Status
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes)); err == nil {
-		s.reusableAfter = resp
-	}
-	return result
-}
-
-// bufferedResponse is a response that was read completely.
-type bufferedResponse struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
-// forwardBuffered reads the complete response before the caller gets any of it.
-func (s *exchange) forwardBuffered(resp *http.Response, meta Response) result {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
-	if err != nil {
-		s.reason = "reading response body failed: " + err.Error()
-		return resultBroken
-	}
-	s.reusableAfter = resp
-	if !meta.Signed {
-		s.reason = "response without the target's signature"
-		s.reusableAfter = nil
-		return resultBroken
-	}
-	buffered := &bufferedResponse{resp.StatusCode, resp.Header, body}
-	if impliesNotRun(resp.StatusCode) {
-		// The target did not state that the request has not run, so the caller
-		// must not get a status that implies it.
-		s.reason = "target returned status " + resp.Status
-		return resultFailed
-	}
-	if resp.StatusCode >= http.StatusInternalServerError {
-		s.reason = "target returned status " + resp.Status
-		s.failedResponse = buffered
-		return resultFailed
-	}
-	buffered.write(s.call)
-	return resultDelivered
-}
-
 // impliesNotRun reports whether a status lets callers conclude that the request
 // has not run.
 func impliesNotRun(status int) bool {
