--- a/cmd/cuminwing-node/main.go
+++ b/cmd/cuminwing-node/main.go
@@ -38,6 +38,9 @@
 }
 
 func run(check bool) int {
+	// Registered first, because SIGHUP ends a process that does not handle it.
+	sighup := make(chan os.Signal, 1)
+	signal.Notify(sighup, syscall.SIGHUP)
 	settings, role, err := platform.LoadSettings()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -54,7 +57,7 @@
 	defer sink.Close()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	go logReloads(ctx, settings, logger)
+	go logReloads(ctx, sighup, settings, logger)
 	if err := serve(ctx, settings, role, logger); err != nil {
 		logger.Error("front or core process failed", zap.Error(err))
 		return exitFailed
@@ -64,9 +67,7 @@
 
 // logReloads reloads the settings on SIGHUP and logs the result. The seeds are
 // read again whenever they are needed, so nothing else has to be updated.
-func logReloads(ctx context.Context, s edge.Settings, logger *zap.Logger) {
-	sighup := make(chan os.Signal, 1)
-	signal.Notify(sighup, syscall.SIGHUP)
+func logReloads(ctx context.Context, sighup <-chan os.Signal, s edge.Settings, logger *zap.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -15,7 +14,6 @@
 	"github.com/cuminwing/cuminwing/internal/adapter/disk"
 	"github.com/cuminwing/cuminwing/internal/adapter/metrics"
 	"github.com/cuminwing/cuminwing/internal/adapter/replica"
-	"github.com/cuminwing/cuminwing/internal/adapter/sockopt"
 	"github.com/cuminwing/cuminwing/internal/control"
 	"github.com/cuminwing/cuminwing/internal/fleet"
 	"github.com/cuminwing/cuminwing/internal/fleetsync"
@@ -225,18 +223,6 @@
 	set.Gauge("targets", func() any { return len(c.registry.Current().Targets) })
 }
 
-// peerClient returns the HTTP client for calls to other VMs. A call on a
-// connection that stops responding ends with the call's own timeout.
-func peerClient() *http.Client {
-	dialer := net.Dialer{Timeout: dialTimeout, Control: sockopt.AckTimeout(ackTimeout)}
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: 4,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
-	}}
-}
-
 // startTask runs f in the background until the core shuts down.
 func (c *Core) startTask(f func(context.Context)) {
 	c.tasks.Go(func() { f(c.ctx) })
--- /dev/null
+++ b/internal/edge/peerclient.go
@@ -0,0 +1,62 @@
+package edge
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cuminwing/cuminwing/internal/adapter/sockopt"
+)
+
+const (
+	// maxPeerHeaderBytes limits the headers of another VM's response.
+	maxPeerHeaderBytes = 64 << 10
+	// maxPeerResponseBytes limits its body. The largest one holds a document with
+	// thousands of routes and the whole registry.
+	maxPeerResponseBytes = 32 << 20
+)
+
+var errPeerResponseTooLarge = errors.Newf("the response of a VM exceeds %d bytes", maxPeerResponseBytes)
+
+// peerClient returns the HTTP client for calls to other VMs. A call on a
+// connection that stops responding ends with the call's own timeout.
+func peerClient() *http.Client {
+	dialer := net.Dialer{Timeout: dialTimeout, Control: sockopt.AckTimeout(ackTimeout)}
+	return &http.Client{Transport: bodyLimiter{&http.Transport{
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    4,
+		IdleConnTimeout:        30 * time.Second,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxPeerHeaderBytes,
+	}}}
+}
+
+// bodyLimiter is an http.RoundTripper that limits the bodies of responses.
+type bodyLimiter struct{ *http.Transport }
+
+// RoundTrip implements http.RoundTripper.
+func (b bodyLimiter) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := b.Transport.RoundTrip(r)
+	if err == nil {
+		response.Body = &limitedBody{response.Body, maxPeerResponseBytes}
+	}
+	return response, err
+}
+
+// limitedBody is a body that fails once more than remaining bytes were read.
+type limitedBody struct {
+	io.ReadCloser
+	remaining int64
+}
+
+// Read implements io.Reader.
+func (l *limitedBody) Read(b []byte) (int, error) {
+	n, err := l.ReadCloser.Read(b)
+	if l.remaining -= int64(n); l.remaining < 0 {
+		return 0, errPeerResponseTooLarge
+	}
+	return n, err
+}
