Bound the fronts to which a front announces its dispatches

Cause: with more than 24 fronts each dispatch went to all fronts of the region: 146 datagrams at 294 fronts, 180,000 a second in all.

Change: at most 24 fronts, those nearest by a symmetric hash.

--- a/internal/fleetsync/fleetsync_test.go
+++ b/internal/fleetsync/fleetsync_test.go
@@ -243,3 +243,36 @@
 		t.Errorf("the list has %d fronts after all have timed out", len(list.Fronts))
 	}
 }
+
+// Guards against announcements that grow with the square of the fleet: at 300 fronts
+// each dispatch took 146 datagrams.
+func TestAnnouncementsOfAFrontAreBounded(t *testing.T) {
+	for _, size := range []int{8, 80, 300} {
+		var fronts []Front
+		for i := range size {
+			fronts = append(fronts, Front{VM: fmt.Sprint("vm", i), Address: fmt.Sprint("10.0.", i/250, ".", i%250, ":1"), Region: []string{"a", "b"}[i%2]})
+		}
+		list := NewFrontList(fronts)
+		heard := make(map[string]int)
+		for _, f := range fronts {
+			peers := list.Peers(f.VM, f.Region)
+			if len(peers) > maxPeers || size <= maxMeshFronts && len(peers) != size-1 {
+				t.Errorf("%d fronts: %s announces to %d others", size, f.VM, len(peers))
+			}
+			if slices.Contains(peers, f.Address) {
+				t.Errorf("%s announces to itself", f.VM)
+			}
+			for _, p := range peers {
+				heard[p]++
+			}
+		}
+		for address, n := range heard {
+			if n > 2*maxPeers {
+				t.Errorf("%d fronts: %s hears from %d others", size, address, n)
+			}
+		}
+		if len(heard) != size {
+			t.Errorf("%d fronts: only %d hear from others", size, len(heard))
+		}
+	}
+}
--- a/internal/fleetsync/fronts.go
+++ b/internal/fleetsync/fronts.go
@@ -4,6 +4,8 @@
 package fleetsync
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -22,9 +24,11 @@
 	firstListDelay = 300 * time.Millisecond
 	// maxMeshFronts is the largest number of fronts that announce their
 	// dispatches to all others. With more fronts, they do so only within a
-	// region, because the number of messages grows with the square of the
-	// number of fronts.
+	// region.
 	maxMeshFronts = 24
+	// maxPeers is the largest number of fronts to which one front announces its
+	// dispatches, so that the messages of a front do not grow with the fleet.
+	maxPeers = 24
 )
 
 // Front is one front in the list of fronts.
@@ -60,17 +64,34 @@
 }
 
 // Peers returns the addresses of the fronts to which a front announces its
-// dispatches.
+// dispatches: all fronts of a small deployment, else those of its region. Of more
+// than maxPeers, it returns those that rank highest by a hash of both VMs. The hash is
+// symmetric, so that mostly the same fronts announce theirs to it.
 func (l *FrontList) Peers(vm, region string) []string {
-	var list []string
-	for _, f := range l.Fronts {
+	var peers []rankedFront
+	for i := range l.Fronts {
+		f := &l.Fronts[i]
 		if f.VM != vm && (len(l.Fronts) <= maxMeshFronts || f.Region == region) {
-			list = append(list, f.Address)
+			peers = append(peers, rankedFront{f.Address, xxhash.Sum64String(vm) ^ xxhash.Sum64String(f.VM)})
 		}
 	}
+	if len(peers) > maxPeers {
+		slices.SortFunc(peers, func(a, b rankedFront) int { return cmp.Compare(a.rank, b.rank) })
+		peers = peers[:maxPeers]
+	}
+	list := make([]string, 0, len(peers))
+	for _, p := range peers {
+		list = append(list, p.address)
+	}
+	slices.Sort(list)
 	return list
 }
 
+type rankedFront struct {
+	address string
+	rank    uint64
+}
+
 // Fronts tracks the fronts that follow the core. It runs on the leader and is safe
 // for concurrent use.
 type Fronts struct {
