Announce dispatches to up to 160 fronts of the region

Cause: with 24 peers a front knew too little of the others' dispatches.

Change: the bound is 160 fronts, enough for a region at the design size of 350 VMs.

--- a/internal/fleetsync/fleetsync_test.go
+++ b/internal/fleetsync/fleetsync_test.go
@@ -245,12 +245,12 @@
 }
 
 // Guards against announcements that grow with the square of the fleet: at 300 fronts
-// each dispatch took 146 datagrams.
+// each dispatch took 146 datagrams, at 1,000 it would have taken 500.
 func TestAnnouncementsOfAFrontAreBounded(t *testing.T) {
-	for _, size := range []int{8, 80, 300} {
+	for _, size := range []int{8, 80, 300, 1000} {
 		var fronts []Front
 		for i := range size {
-			fronts = append(fronts, Front{VM: fmt.Sprint("vm", i), Address: fmt.Sprint("10.0.", i/250, ".", i%250, ":1"), Region: []string{"a", "b"}[i%2]})
+			fronts = append(fronts, Front{VM: fmt.Sprint("vm", i), Address: fmt.Sprint("10.", i/250, ".", i%250, ".1:1"), Region: []string{"a", "b"}[i%2]})
 		}
 		list := NewFrontList(fronts)
 		heard := make(map[string]int)
--- a/internal/fleetsync/fronts.go
+++ b/internal/fleetsync/fronts.go
@@ -27,8 +27,9 @@
 	// region.
 	maxMeshFronts = 24
 	// maxPeers is the largest number of fronts to which one front announces its
-	// dispatches, so that the messages of a front do not grow with the fleet.
-	maxPeers = 24
+	// dispatches, so that the messages of a front do not grow with the fleet. It
+	// covers a region of the largest deployment the system is designed for.
+	maxPeers = 160
 )
 
 // Front is one front in the list of fronts.
