Continue a stalled stream at another engine

Cause: a stream was ended by its deadline only, so a target that sent a comment line every 50 ms kept it until then although another engine could have continued it.

Change: after its first event a resumable stream without progress for four of the route's longest pauses, at least a second, continues at another engine if an attempt is left. Progress is an event with a field. Streams that cannot be resumed, and those that make progress however slowly, are not cut.

--- a/internal/proxy/response_test.go
+++ b/internal/proxy/response_test.go
@@ -190,3 +190,68 @@
 		t.Errorf("the request was sent to %d other targets although it may have run", n)
 	}
 }
+
+// pacedStream sends the events with a pause before each, and then block again and
+// again until the connection is closed; none if block is empty.
+func pacedStream(pause time.Duration, block string, list ...string) script {
+	return func(conn net.Conn, r *http.Request) bool {
+		fmt.Fprint(conn, startLine(r)+"\r\n")
+		for _, e := range list {
+			time.Sleep(pause)
+			fmt.Fprint(conn, e)
+		}
+		for block != "" {
+			time.Sleep(50 * time.Millisecond)
+			if _, err := fmt.Fprint(conn, block); err != nil {
+				break
+			}
+		}
+		return false
+	}
+}
+
+// Guards against a stalled stream that is kept until its deadline because its
+// engine sends a byte now and then, although another engine could continue it.
+func TestStalledStreamContinuesAtAnotherEngine(t *testing.T) {
+	for name, block := range map[string]string{"comments": ": waiting\n\n", "blank lines": "\n", "one byte of a line": ":"} {
+		t.Run(name, func(t *testing.T) {
+			stalled := newTarget(t, pacedStream(10*time.Millisecond, block, eventText(1), eventText(2)))
+			second := newTarget(t, streamResponse(true, eventText(3)))
+			f := newFront(t, gatewayconfig.Route{Kind: gatewayconfig.RunStream, Resumable: true, MaxAttempts: 2, MaxPause: 50 * time.Millisecond}, stalled, second)
+			_, body, err := f.call(t, "r1", "POST", "b")
+			if err != nil || !strings.HasSuffix(body, eventText(3)) || !strings.HasPrefix(body, eventText(1)+eventText(2)) {
+				t.Errorf("got stream %q, error %v; want three events", body, err)
+			}
+			if n := len(second.requests()); n != 1 {
+				t.Errorf("the second engine got %d requests", n)
+			}
+		})
+	}
+}
+
+// Guards against a slow but sound stream that is cut: each of its events is progress,
+// and a stream that cannot be resumed is not cut for silence at all.
+func TestSlowStreamWithProgressIsNotCut(t *testing.T) {
+	for name, c := range map[string]struct {
+		route gatewayconfig.Route
+		pause time.Duration
+	}{
+		"slow events":   {gatewayconfig.Route{Kind: gatewayconfig.RunStream, Resumable: true, MaxAttempts: 2, MaxPause: 50 * time.Millisecond}, 300 * time.Millisecond},
+		"not resumable": {gatewayconfig.Route{Kind: gatewayconfig.RunStream, MaxAttempts: 2, MaxPause: 50 * time.Millisecond}, 600 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var events []string
+			want := ""
+			for id := range int(1200 * time.Millisecond / c.pause) {
+				events = append(events, eventText(id))
+				want += eventText(id)
+			}
+			second := newTarget(t, streamResponse(true, eventText(99)))
+			f := newFront(t, c.route, newTarget(t, pacedStream(c.pause, "", events...)), second)
+			_, body, err := f.call(t, "r1", "POST", "b")
+			if err != nil || body != want || len(second.requests()) != 0 {
+				t.Errorf("got stream %q, error %v, %d requests elsewhere; want %q", body, err, len(second.requests()), want)
+			}
+		})
+	}
+}
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -301,11 +301,20 @@
 	}
 	events := eventReader{src: bufio.NewReader(resp.Body)}
 	flusher := http.NewResponseController(s.w)
+	stall := s.newStallTimer(func() { _ = s.conn.Conn.Close() })
+	defer stall.stop()
 	for {
 		e, err := events.next()
+		if err != nil && stall.stalled.Load() {
+			s.reason = "stream made no progress for " + stall.limit.String()
+			return resultBroken
+		}
 		if err != nil {
 			return s.endStream(resp, e, err)
 		}
+		if e.isProgress() {
+			stall.recordProgress()
+		}
 		if e.id >= 0 && e.id <= s.lastEventID {
 			continue
 		}
