Accept connections while they arrive at a stopping front

Cause: closing the listener resets the connections that wait to be accepted, with the requests that they carry. A load balancer that takes a front out later than 2.6 s after its readiness check failed still sends some.

Change: the listener stays open until no connection has arrived for 0.4 s, for at most half of the grace period.

--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -40,9 +40,10 @@
 	// before it accepts connections. Without the state, callers are told to
 	// retry.
 	initialSyncWait = 400 * time.Millisecond
-	// drainDelay is the time from failing the readiness check to closing the
-	// listener. It covers two checks of the load balancer, a second apart, and
-	// the connections that it has already routed here.
+	// drainDelay is the shortest time from failing the readiness check to closing
+	// the listener. It covers two checks of the load balancer, a second apart, and
+	// the connections that it has already routed here. While connections still
+	// arrive, the listener stays open for up to half of the grace period.
 	drainDelay = 2600 * time.Millisecond
 	// graceMargin is the part of the grace period that is left unused when the
 	// process exits.
@@ -238,12 +239,16 @@
 	case <-ctx.Done():
 	}
 	server := f.newServer()
-	go serveUntilClosed(f.logger, server, listener)
+	watch := &acceptWatch{Listener: listener}
+	go serveUntilClosed(f.logger, server, watch)
 	<-ctx.Done()
 	stopStarted := time.Now()
 	f.stopping.Store(true)
 	f.logger.Info("front stops", zap.String("reason", "signal"))
 	time.Sleep(drainDelay)
+	acceptCtx, stopAccepting := context.WithDeadline(context.Background(), stopStarted.Add(f.settings.Guarantees.GracePeriod/2))
+	watch.awaitQuiet(acceptCtx)
+	stopAccepting()
 	drainCtx, cancel := context.WithDeadline(context.Background(), stopStarted.Add(f.settings.Guarantees.GracePeriod-graceMargin))
 	defer cancel()
 	if err := server.Shutdown(drainCtx); err != nil {
