--- a/internal/edge/corefollow_test.go
+++ b/internal/edge/corefollow_test.go
@@ -208,15 +208,26 @@
 	for _, front := range fronts {
 		eventually(t, "request", expectStatus(front, "k1", 200))
 	}
-	leader, _ := d.leader()
-	d.stopCore(leader)
-	until := time.Now().Add(6 * time.Second)
-	for time.Now().Before(until) {
+	// Each member is lost in turn, the leader among them, while polls are held,
+	// relayed and answered.
+	for _, c := range d.cores {
+		d.stopCore(c)
+		d.serveThroughout(fronts, 2*time.Second)
+		c.settings.FirstStart = false
+		d.startCore(c)
+		d.serveThroughout(fronts, time.Second)
+		d.leader()
+	}
+}
+
+// serveThroughout fails the test if a front refuses a request within the time.
+func (d *deployment) serveThroughout(fronts []string, length time.Duration) {
+	d.t.Helper()
+	for until := time.Now().Add(length); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
 		for _, front := range fronts {
 			if err := expectStatus(front, "k1", 200)(); err != nil {
-				t.Fatalf("after the loss of a member: %v", err)
+				d.t.Fatalf("after the loss of a member: %v", err)
 			}
 		}
-		time.Sleep(50 * time.Millisecond)
 	}
 }
