--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -96,12 +96,12 @@
 	staleWeights *staleWeightsFilter
 	// weightsPending is set while an engine is being updated or runs older
 	// weights than required, and after a change of leader. While it is set,
-	// each response of the leader updates placement.
+	// each served poll updates placement.
 	weightsPending bool
 	// unreachableStores are the addresses of stores that the leader cannot
 	// reach.
 	unreachableStores []string
-	// leader is the leader that has responded last.
+	// leader is the leader that confirmed the present state.
 	leader leaderInfo
 	// synced is closed once the front has received its first complete state.
 	synced     chan struct{}
--- a/internal/edge/staleness.go
+++ b/internal/edge/staleness.go
@@ -46,14 +46,14 @@
 	return &staleWeightsFilter{limit: limit, required: make(map[string]requiredWeights), updatingSince: make(map[string]time.Duration)}
 }
 
-// leaderInfo describes the leader that has sent a registry.
+// leaderInfo describes the leader that has confirmed a registry.
 type leaderInfo struct {
 	address string
 	// electedAt is when the leader was elected, on the boot clock.
 	electedAt time.Duration
 }
 
-// update applies a registry received from the leader. A new leader gives orders
+// update applies a registry that the leader has confirmed. A new leader gives orders
 // only after the lease of its predecessor has expired, so a change of leader
 // restarts the time limit for older weights.
 func (s *staleWeightsFilter) update(now time.Duration, leader leaderInfo, state *fleet.State) {
