Share log entries and wake-ups among registrations, compress the state for fronts

Each change of the registry was followed by a copy of all targets, since heartbeats read it; each woke all waiting polls; each registration was a proposal of its own and searched all targets for its address; each front got 220 bytes a target.

Change: heartbeats and polls read versions without a copy; registrations that arrive together share an entry, at most one in 20 ms from each member; wake-ups share 10 ms; targets are indexed by address; document and registry are compressed, once for all fronts of a member.

Result: 300 registrations took at most 30 entries and wake-ups in the new test (300 before).

--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -39,6 +40,14 @@
 	// logReopenDelay is the delay between a disk failure and the attempt to
 	// reopen the control log.
 	logReopenDelay = 500 * time.Millisecond
+	// notifyDelay is the time from a change of the registry to the wake-up of those
+	// who wait for it.
+	notifyDelay = 10 * time.Millisecond
+	// announceGather is how long the announcement of a target waits for others to
+	// share its log entry, and announceInterval the shortest time between two such
+	// entries.
+	announceGather   = 3 * time.Millisecond
+	announceInterval = 20 * time.Millisecond
 	// shutdownTimeout limits the leadership transfer and the graceful shutdown
 	// of the servers, together.
 	shutdownTimeout = 1500 * time.Millisecond
@@ -98,7 +107,8 @@
 	client      *http.Client
 	barriers    *batcher[struct{}, uint64]
 	relays      *batcher[*followv1.FrontReport, *relayedReport]
-	deltas      deltaCache
+	announces   *batcher[fleet.Target, struct{}]
+	encoded     encodedState
 	storeHealth *storeHealth
 	ctx         context.Context
 	cancel      context.CancelFunc
@@ -108,6 +118,9 @@
 	logFailed     chan struct{}
 	logFailedOnce sync.Once
 
+	// notifyPending is set while a wake-up is due.
+	notifyPending atomic.Bool
+
 	mu sync.Mutex
 	// changed is closed and replaced whenever the replicated state or the Raft
 	// role changes.
@@ -174,7 +187,7 @@
 	defer c.tasks.Wait()
 	defer c.cancel()
 	c.document.OnChange = c.notify
-	c.registry.OnChange = c.notify
+	c.registry.OnChange = c.notifySoon
 	if err := c.openReplica(); err != nil {
 		return err
 	}
@@ -184,6 +197,8 @@
 	c.relays = newBatcher(batchLimits{gather: relayGather, interval: relayInterval, timeout: relayTimeout}, c.relayReports)
 	c.startTask(c.relays.serve)
 	c.startTask(c.contactLeader)
+	c.announces = newBatcher(batchLimits{gather: announceGather, interval: announceInterval, timeout: proposeTimeout}, c.announceAll)
+	c.startTask(c.announces.serve)
 	c.startTask(c.repairMembers)
 	c.startTask(c.join)
 	c.startTask(c.updateWeights)
@@ -220,7 +235,7 @@
 	set.Gauge("commit", func() any { return c.replica.Status().Commit })
 	set.Gauge("voters", func() any { return c.replica.Status().Members.VoterCount() })
 	set.Gauge("document", func() any { return c.document.Current().Version })
-	set.Gauge("targets", func() any { return len(c.registry.Current().Targets) })
+	set.Gauge("targets", func() any { return c.registry.TargetCount() })
 }
 
 // startTask runs f in the background until the core shuts down.
@@ -294,6 +309,17 @@
 	c.mu.Unlock()
 }
 
+// notifySoon wakes all waiting goroutines after notifyDelay. Changes of the registry
+// come in quick succession while a deployment starts, and share one wake-up.
+func (c *Core) notifySoon() {
+	if c.notifyPending.CompareAndSwap(false, true) {
+		time.AfterFunc(notifyDelay, func() {
+			c.notifyPending.Store(false)
+			c.notify()
+		})
+	}
+}
+
 // changeSignal returns a channel that is closed at the next state change.
 func (c *Core) changeSignal() <-chan struct{} {
 	c.mu.Lock()
--- a/internal/edge/corefollow.go
+++ b/internal/edge/corefollow.go
@@ -2,17 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
 
 	"github.com/cuminwing/cuminwing/internal/adapter/boottime"
-	"github.com/cuminwing/cuminwing/internal/fleet"
 	"github.com/cuminwing/cuminwing/internal/fleetsync"
 	followv1 "github.com/cuminwing/cuminwing/proto/follow/v1"
 )
@@ -70,15 +67,14 @@
 	if front := request.GetReport(); request.GetPeersVersion() != state.fronts.Version {
 		response.Peers = state.fronts.Peers(front.GetVm(), front.GetRegion())
 	}
+	var err error
 	if stored := c.document.Current(); stored.Version > request.GetDocumentVersion() {
-		response.DocumentVersion, response.RawDocument = stored.Version, stored.Raw
+		response.DocumentVersion = stored.Version
+		response.RawDocument, err = c.encoded.document(stored)
 	}
-	registry := c.registry.Current()
-	if registry.Revision <= request.GetRevision() {
-		return response, nil
+	if revision, _ := c.registry.Versions(); err == nil && revision > request.GetRevision() {
+		response.FleetDelta, err = c.encoded.delta(c.registry, request.GetRevision())
 	}
-	var err error
-	response.FleetDelta, err = c.deltas.encoded(registry, request.GetRevision())
 	return response, err
 }
 
@@ -121,34 +117,6 @@
 
 // stateVersion returns the version of the state of this member's replica.
 func (c *Core) stateVersion() fleetsync.Version {
-	registry := c.registry.Current()
-	return fleetsync.Version{Document: c.document.Current().Version, Revision: registry.Revision, Urgent: registry.UrgentRevision}
-}
-
-// deltaCache holds the encoded changes of the registry since earlier revisions.
-// Most fronts of a member have the same revision, so each change is encoded once.
-type deltaCache struct {
-	mu        sync.Mutex
-	revision  uint64
-	bySince   map[uint64][]byte
-	encodings int
-}
-
-// encoded returns the encoded changes of the registry after a revision.
-func (d *deltaCache) encoded(state *fleet.State, since uint64) ([]byte, error) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.revision != state.Revision || d.bySince == nil {
-		d.revision, d.bySince = state.Revision, make(map[uint64][]byte)
-	}
-	if data, ok := d.bySince[since]; ok {
-		return data, nil
-	}
-	data, err := json.Marshal(state.DeltaSince(since))
-	if err != nil {
-		return nil, err
-	}
-	d.encodings++
-	d.bySince[since] = data
-	return data, nil
+	revision, urgent := c.registry.Versions()
+	return fleetsync.Version{Document: c.document.Current().Version, Revision: revision, Urgent: urgent}
 }
--- a/internal/edge/corefollow_test.go
+++ b/internal/edge/corefollow_test.go
@@ -171,19 +171,46 @@
 	}
 }
 
+// compressed returns the compressed form of data in a test.
+func compressed(t *testing.T, data []byte) []byte {
+	t.Helper()
+	out, err := compress(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// Guards against a small compressed state that fills the memory of a front when it is
+// decompressed.
+func TestCompressedStateIsLimited(t *testing.T) {
+	if _, err := decompress(compressed(t, make([]byte, maxStateBytes+1))); !errors.Is(err, errStateTooLarge) {
+		t.Errorf("state over the limit: %v, want %v", err, errStateTooLarge)
+	}
+	if _, err := decompress([]byte("no gzip")); err == nil {
+		t.Error("malformed state is accepted")
+	}
+	if data, err := decompress(compressed(t, []byte("x"))); err != nil || string(data) != "x" {
+		t.Errorf("got %q, %v", data, err)
+	}
+}
+
 // Guards against one encoding of the registry for each front: after a change all
 // fronts of a member ask for the same difference.
 func TestRegistryIsEncodedOncePerRevision(t *testing.T) {
-	state := fleet.NewState()
-	state.Revision = 5
-	var cache deltaCache
+	state := fleet.NewRegistry()
+	for i := range 5 {
+		announced := fleet.Target{ID: fmt.Sprint(i), Service: "s", Address: fmt.Sprint(i), Zone: "z", Started: 1}
+		state.Apply(uint64(i+1), time.Time{}, fleet.Command{Announce: &announced}.Encode())
+	}
+	var cache encodedState
 	for range 300 {
-		if _, err := cache.encoded(state, 0); err != nil {
+		if _, err := cache.delta(state, 0); err != nil {
 			t.Fatal(err)
 		}
 	}
 	for range 300 {
-		if _, err := cache.encoded(state, 4); err != nil {
+		if _, err := cache.delta(state, 4); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -231,3 +258,45 @@
 		}
 	}
 }
+
+// Guards against one log entry and one wake-up of all waiting polls for each of 300
+// targets that register at the same time.
+func TestRegistrationsShareLogEntriesAndWakeUps(t *testing.T) {
+	const registrations = 300
+	d := newDeployment(t, 3)
+	_, followers := d.leader()
+	core := followers[0].core
+	before := core.replica.Status().Commit
+	wakeUps := 0
+	counted := make(chan struct{})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		defer close(counted)
+		for {
+			select {
+			case <-core.changeSignal():
+				wakeUps++
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	results := make(chan error, registrations)
+	for i := range registrations {
+		target := fleet.Target{ID: fmt.Sprint("t", i), Service: "s", Address: fmt.Sprint("10.0.0.", i, ":1"), Zone: "z", Started: 1}
+		go func() { results <- core.Announce(ctx, target) }()
+	}
+	for range registrations {
+		if err := <-results; err != nil {
+			t.Error(err)
+		}
+	}
+	cancel()
+	<-counted
+	if n := core.registry.TargetCount(); n != registrations {
+		t.Errorf("%d targets are registered, want %d", n, registrations)
+	}
+	if entries := core.replica.Status().Commit - before; entries > registrations/10 || wakeUps > registrations/10 {
+		t.Errorf("%d registrations took %d log entries and %d wake-ups", registrations, entries, wakeUps)
+	}
+}
--- a/internal/edge/corespending.go
+++ b/internal/edge/corespending.go
@@ -28,7 +28,7 @@
 			continue
 		}
 		records := leader.allocator.Record(boottime.Now())
-		if !spendingChanged(records, c.registry.Current().Spent) {
+		if !spendingChanged(records, c.registry.Spent()) {
 			continue
 		}
 		if err := c.propose(ctx, control.KindFleet, fleet.Command{Spent: records}.Encode()); err != nil {
@@ -64,7 +64,7 @@
 	} else if stored.Version > 0 {
 		c.logger.Error("decoding the active document failed", zap.Uint64("version", stored.Version), zap.Error(err))
 	}
-	return c.settings.Guarantees.Quota.AddUnrecorded(c.registry.Current().Spent, func(workspace string) (rate, burst float64, ok bool) {
+	return c.settings.Guarantees.Quota.AddUnrecorded(c.registry.Spent(), func(workspace string) (rate, burst float64, ok bool) {
 		w, ok := rates[workspace]
 		return w.Rate, w.Burst, ok
 	})
--- a/internal/edge/corestores_test.go
+++ b/internal/edge/corestores_test.go
@@ -100,7 +100,7 @@
 		response.Served, response.DocumentVersion = true, 1
 		f.applyPoll(pollResult{sentAt: sentAt, response: response})
 	}
-	apply(time.Second, &followv1.FollowResponse{RawDocument: documentWithStores(1, "10.0.0.1:1", "10.0.0.2:1")})
+	apply(time.Second, &followv1.FollowResponse{RawDocument: compressed(t, documentWithStores(1, "10.0.0.1:1", "10.0.0.2:1"))})
 	apply(2*time.Second, &followv1.FollowResponse{UnreachableStores: []string{"10.0.0.1:1"}})
 	table := f.state.Load().Table
 	if list := f.reachableStores(table); len(list) != 1 || list[0].Address != "10.0.0.2:1" {
--- a/internal/edge/frontsync.go
+++ b/internal/edge/frontsync.go
@@ -198,8 +198,12 @@
 	if len(response.GetFleetDelta()) == 0 {
 		return f.registry, nil
 	}
+	data, err := decompress(response.GetFleetDelta())
+	if err != nil {
+		return nil, err
+	}
 	var d fleet.Delta
-	if err := json.Unmarshal(response.GetFleetDelta(), &d); err != nil {
+	if err := json.Unmarshal(data, &d); err != nil {
 		return nil, err
 	}
 	if d.Revision <= f.registry.Revision {
@@ -215,7 +219,11 @@
 	if len(response.GetRawDocument()) == 0 || current != nil && response.GetDocumentVersion() <= current.Document.Version {
 		return current, nil
 	}
-	document, err := f.decode(response.GetRawDocument())
+	raw, err := decompress(response.GetRawDocument())
+	if err != nil {
+		return nil, err
+	}
+	document, err := f.decode(raw)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/edge/frontsync_test.go
+++ b/internal/edge/frontsync_test.go
@@ -14,7 +14,7 @@
 func TestUndecodableDocumentIsNotConfirmed(t *testing.T) {
 	f := newFront(Settings{VM: "f", Guarantees: testGuarantees()}, FrontOptions{Logger: zap.NewNop(), Decode: decodeJSON})
 	apply := func(sentAt time.Duration, version uint64, raw []byte) {
-		f.applyPoll(pollResult{sentAt: sentAt, response: &followv1.FollowResponse{Served: true, DocumentVersion: version, RawDocument: raw}})
+		f.applyPoll(pollResult{sentAt: sentAt, response: &followv1.FollowResponse{Served: true, DocumentVersion: version, RawDocument: compressed(t, raw)}})
 	}
 	apply(time.Second, 1, documentWithKey(1, "k1"))
 	apply(2*time.Second, 2, []byte("{"))
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"sync"
 	"time"
 
@@ -43,8 +44,9 @@
 
 // Command is a change of the registry. Exactly one field is set.
 type Command struct {
-	// Announce adds or updates a target.
-	Announce *Target `json:"announce,omitempty"`
+	// Announce adds or updates a target, Announces several of them.
+	Announce  *Target  `json:"announce,omitempty"`
+	Announces []Target `json:"announces,omitempty"`
 	// Leave is the ID of a target to remove.
 	Leave string `json:"leave,omitempty"`
 	// Weights sets the version that the engines of a model have to run.
@@ -101,6 +103,9 @@
 	// UrgentRevision is the log index of the last change after which some target
 	// must get no new requests.
 	UrgentRevision uint64 `json:"urgent,omitempty"`
+
+	// byAddress maps addresses to the IDs of targets. It is nil until it is needed.
+	byAddress map[string]string
 }
 
 // Departure is an incarnation of a target that was removed.
@@ -141,6 +146,53 @@
 	return r.readCopy
 }
 
+// Versions returns the revision and the urgent revision. Unlike Current it copies
+// nothing.
+func (r *Registry) Versions() (revision, urgent uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Revision, r.state.UrgentRevision
+}
+
+// IsUpToDate reports whether announcing t would change nothing.
+func (r *Registry) IsUpToDate(t Target) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.IsUpToDate(t)
+}
+
+// Has reports whether a target is registered.
+func (r *Registry) Has(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, ok := r.state.Targets[id]
+	return ok
+}
+
+// TargetCount returns the number of registered targets.
+func (r *Registry) TargetCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.state.Targets)
+}
+
+// Spent returns the record of what workspaces have spent. The caller must not
+// modify it.
+func (r *Registry) Spent() map[string]ratelimit.SpendingRecord {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Spent
+}
+
+// DeltaSince returns the changes after a revision.
+func (r *Registry) DeltaSince(revision uint64) Delta {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d := r.state.DeltaSince(revision)
+	d.Weights = maps.Clone(d.Weights)
+	return d
+}
+
 func (s *State) clone() *State {
 	c := emptyState()
 	for k, v := range s.Targets {
@@ -167,8 +219,13 @@
 	if changed {
 		r.state.Revision = index
 	}
-	if changed || c.Spent != nil {
+	switch {
+	case changed:
 		r.readCopy = nil
+	case c.Spent != nil && r.readCopy != nil:
+		next := *r.readCopy
+		next.Spent = c.Spent
+		r.readCopy = &next
 	}
 	r.mu.Unlock()
 	if changed && r.OnChange != nil {
@@ -197,6 +254,12 @@
 	switch {
 	case c.Announce != nil:
 		return s.announce(index, *c.Announce)
+	case len(c.Announces) > 0:
+		changed := false
+		for _, t := range c.Announces {
+			changed = s.announce(index, t) || changed
+		}
+		return changed
 	case c.Leave != "":
 		return s.deregister(index, c.Leave)
 	case c.Weights != nil:
@@ -235,6 +298,10 @@
 		s.UrgentRevision = index
 	}
 	t.Revision = index
+	if ok && existing.Address != t.Address {
+		delete(s.addresses(), existing.Address)
+	}
+	s.addresses()[t.Address] = t.ID
 	s.Targets[t.ID] = t
 	return true
 }
@@ -252,18 +319,30 @@
 // It returns false if the registered target is newer than t, which means that the
 // heartbeat of t was delayed.
 func (s *State) removeReplaced(index uint64, t *Target) bool {
-	for id, other := range s.Targets {
-		if id == t.ID || other.Address != t.Address {
-			continue
-		}
-		if other.newerThan(t) {
-			return false
-		}
-		s.remove(index, id)
+	id, ok := s.addresses()[t.Address]
+	if !ok || id == t.ID {
+		return true
 	}
+	other := s.Targets[id]
+	if other.newerThan(t) {
+		return false
+	}
+	s.remove(index, id)
 	return true
 }
 
+// addresses returns the map from addresses to the IDs of targets. At most one
+// target is registered at an address.
+func (s *State) addresses() map[string]string {
+	if s.byAddress == nil {
+		s.byAddress = make(map[string]string, len(s.Targets))
+		for id, t := range s.Targets {
+			s.byAddress[t.Address] = id
+		}
+	}
+	return s.byAddress
+}
+
 func (s *State) deregister(index uint64, id string) bool {
 	if _, ok := s.Targets[id]; !ok {
 		return false
@@ -276,6 +355,7 @@
 func (s *State) remove(index uint64, id string) {
 	s.UrgentRevision = index
 	s.Departed = append(s.Departed, Departure{ID: id, Started: s.Targets[id].Started, Revision: index})
+	delete(s.addresses(), s.Targets[id].Address)
 	delete(s.Targets, id)
 	if extra := len(s.Departed) - maxDepartures; extra > 0 {
 		s.Departed = append([]Departure(nil), s.Departed[extra:]...)
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -1,6 +1,9 @@
 package fleet
 
 import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -138,3 +141,48 @@
 		t.Errorf("weights are %d, want 4", got)
 	}
 }
+
+// Guards against an index of addresses that differs from the targets: a target at a
+// reused address would stay registered, or a sound one would be removed.
+func TestAddressIndexMatchesTheTargets(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	r := NewRegistry()
+	for index := range uint64(5000) {
+		target := Target{
+			ID: fmt.Sprint("t", random.IntN(40)), Service: "s", Address: fmt.Sprint("a", random.IntN(30)),
+			Zone: "z", Started: int64(random.IntN(20)) + int64(index)/100, Draining: random.IntN(5) == 0,
+		}
+		command := Command{Announce: &target}
+		if random.IntN(6) == 0 {
+			command = Command{Leave: target.ID}
+		}
+		r.Apply(index+1, time.Time{}, command.Encode())
+		seen := make(map[string]string)
+		for id, existing := range r.state.Targets {
+			if other, ok := seen[existing.Address]; ok {
+				t.Fatalf("entry %d: %s and %s are registered at %s", index, id, other, existing.Address)
+			}
+			seen[existing.Address] = id
+		}
+		if !maps.Equal(seen, r.state.addresses()) {
+			t.Fatalf("entry %d: the index is %v, the targets are at %v", index, r.state.addresses(), seen)
+		}
+	}
+}
+
+// Guards against registrations in one entry that have another effect than in
+// entries of their own.
+func TestBatchedAnnouncementsEqualSingleOnes(t *testing.T) {
+	single, batched := NewRegistry(), NewRegistry()
+	var targets []Target
+	for i := range 20 {
+		targets = append(targets, Target{ID: fmt.Sprint("t", i%15), Service: "s", Address: fmt.Sprint("a", i%7), Zone: "z", Started: int64(i % 4)})
+	}
+	for _, target := range targets {
+		single.Apply(1, time.Time{}, Command{Announce: &target}.Encode())
+	}
+	batched.Apply(1, time.Time{}, Command{Announces: targets}.Encode())
+	if !maps.Equal(single.Current().Targets, batched.Current().Targets) {
+		t.Errorf("batched %v, single %v", batched.Current().Targets, single.Current().Targets)
+	}
+}
