Count the limit of an engine's weights from the first later version

Cause: the limit started again with each newer version, so that versions in quick succession extended it.

Change: the versions that are still within their limit are kept, and the first one after an engine's weights counts.

Result: TestNewerVersionsDoNotExtendTheLimitOfOlderWeights failed before.

--- a/internal/edge/staleness.go
+++ b/internal/edge/staleness.go
@@ -25,8 +25,10 @@
 type staleWeightsFilter struct {
 	// limit is how long engines with older weights are used.
 	limit time.Duration
-	// required maps each model to the version that its engines have to run.
-	required map[string]requiredWeights
+	// required maps each model to the versions that its engines had to run, oldest
+	// first. The limit of an engine's weights counts from the first later version,
+	// however many have followed since.
+	required map[string][]requiredWeights
 	// updatingSince maps each engine that is marked for an update to the time
 	// at which the mark was first seen.
 	updatingSince map[string]time.Duration
@@ -43,7 +45,7 @@
 }
 
 func newStaleWeightsFilter(limit time.Duration) *staleWeightsFilter {
-	return &staleWeightsFilter{limit: limit, required: make(map[string]requiredWeights), updatingSince: make(map[string]time.Duration)}
+	return &staleWeightsFilter{limit: limit, required: make(map[string][]requiredWeights), updatingSince: make(map[string]time.Duration)}
 }
 
 // leaderInfo describes the leader that has confirmed a registry.
@@ -60,20 +62,34 @@
 	leaderChanged := s.leader != "" && leader.address != s.leader
 	s.leader = leader.address
 	for model, version := range state.Weights {
-		previous, ok := s.required[model]
-		since := previous.since
+		versions := s.required[model]
+		if leaderChanged {
+			for i := range versions {
+				versions[i].since = now
+			}
+		}
 		switch {
 		case !s.initialized:
-			since = max(now-s.limit+min(unknownAgeLimit, s.limit), min(leader.electedAt, now))
-		case leaderChanged || !ok || previous.version < version:
-			since = now
+			since := max(now-s.limit+min(unknownAgeLimit, s.limit), min(leader.electedAt, now))
+			versions = []requiredWeights{{version, since}}
+		case len(versions) == 0 || versions[len(versions)-1].version < version:
+			versions = append(versions, requiredWeights{version, now})
 		}
-		s.required[model] = requiredWeights{version, since}
+		s.required[model] = s.dropExpired(now, versions)
 	}
 	s.initialized = s.initialized || len(state.Targets) > 0
 	s.updateMarks(now, state)
 }
 
+// dropExpired drops the versions whose limit has expired, except the latest of them:
+// all engines with weights before that one are excluded.
+func (s *staleWeightsFilter) dropExpired(now time.Duration, versions []requiredWeights) []requiredWeights {
+	for len(versions) > 1 && now-versions[1].since >= s.limit {
+		versions = versions[1:]
+	}
+	return versions
+}
+
 func (s *staleWeightsFilter) updateMarks(now time.Duration, state *fleet.State) {
 	for id := range s.updatingSince {
 		if !state.Targets[id].Updating {
@@ -93,6 +109,13 @@
 	if since, ok := s.updatingSince[t.ID]; ok && now-since < updateMarkTimeout {
 		return true
 	}
-	required := s.required[t.Model]
-	return t.Model != "" && t.Weights < required.version && now-required.since >= s.limit
+	if t.Model == "" {
+		return false
+	}
+	for _, r := range s.required[t.Model] {
+		if t.Weights < r.version {
+			return now-r.since >= s.limit
+		}
+	}
+	return false
 }
--- a/internal/edge/staleness_test.go
+++ b/internal/edge/staleness_test.go
@@ -100,3 +100,33 @@
 		t.Error("a new mark has no effect")
 	}
 }
+
+// Guards against versions in quick succession that put off the limit of an engine's
+// weights again and again: on hinokuni-salt (quiet-1, seed 355077334289) requests
+// began on weights whose successor had been required 12.2 s before.
+func TestNewerVersionsDoNotExtendTheLimitOfOlderWeights(t *testing.T) {
+	filter := newStaleWeightsFilter(10 * time.Second)
+	leader := leaderInfo{address: "a"}
+	state := fleet.NewState()
+	state.Targets["e"] = fleet.Target{ID: "e", Model: "m", Weights: 1}
+	require := func(version uint64) {
+		state.Weights = map[string]uint64{"m": version}
+		filter.update(time.Duration(version-1)*4*time.Second, leader, state)
+	}
+	for version := range uint64(4) {
+		require(version + 1)
+	}
+	engine := state.Targets["e"]
+	if filter.excludes(13900*time.Millisecond, &engine) {
+		t.Error("engine is excluded before the limit of its weights")
+	}
+	if !filter.excludes(14*time.Second, &engine) {
+		t.Error("engine is used 10 s after version 2 was required")
+	}
+	require(5)
+	require(6)
+	engine.Weights = 3
+	if filter.excludes(21900*time.Millisecond, &engine) || !filter.excludes(22*time.Second, &engine) {
+		t.Error("the limit of version 3 does not count from version 4")
+	}
+}
