--- a/internal/edge/corefollow_test.go
+++ b/internal/edge/corefollow_test.go
@@ -291,6 +291,10 @@
 			t.Error(err)
 		}
 	}
+	// A follower applies an entry after the leader has acknowledged it.
+	if _, err := core.barriers.call(ctx, struct{}{}); err != nil {
+		t.Fatal(err)
+	}
 	cancel()
 	<-counted
 	if n := core.registry.TargetCount(); n != registrations {
