Publish the failure of a replica before its proposals fail

Cause: shutdown failed the pending proposals first, so that their callers could still see a replica without a failure.

Change: the status is set first.

--- a/internal/adapter/replica/replica.go
+++ b/internal/adapter/replica/replica.go
@@ -386,11 +386,12 @@
 // acknowledges entries until the process is restarted.
 func (r *Replica) shutdown(failure error) {
 	r.leaseEnd.Store(0)
-	r.failAll()
+	// A caller whose proposal fails must find the failure in the status.
 	r.setStatus(Status{
 		Status:  raft.Status{ID: r.config.ID, Term: r.node.Status().Term, Members: r.node.Members()},
 		Failure: failure,
 	})
+	r.failAll()
 	_ = r.store.Close()
 }
 
