Log failing requests between replicas of the control log

Cause: the logs could not tell a slow link from lost votes: failed calls between replicas left no trace.

Change: the first failed request to a replica and the first success after it are logged with the size of their entries and their duration.

--- /dev/null
+++ b/internal/adapter/replica/failurelog.go
@@ -0,0 +1,48 @@
+package replica
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	raftv1 "github.com/cuminwing/cuminwing/proto/raft/v1"
+)
+
+// failureLog logs when requests to one replica begin to fail and when they succeed
+// again. It is not safe for concurrent use.
+type failureLog struct {
+	logger  *zap.Logger
+	address string
+	// failed counts the requests that have failed since the last success.
+	failed int
+}
+
+// record records the result of a request.
+func (f *failureLog) record(request *raftv1.StepRequest, took time.Duration, err error) {
+	if f.logger == nil || err == nil && f.failed == 0 {
+		return
+	}
+	fields := []zap.Field{
+		zap.String("address", f.address), zap.Int("messages", len(request.GetMessages())), zap.Int("entry_bytes", entryBytes(request)),
+		zap.Duration("took", took),
+	}
+	if err == nil {
+		f.logger.Info("requests to a replica succeed again", append(fields, zap.Int("failed", f.failed))...)
+		f.failed = 0
+		return
+	}
+	if f.failed == 0 {
+		f.logger.Info("request to a replica failed", append(fields, zap.Error(err))...)
+	}
+	f.failed++
+}
+
+func entryBytes(request *raftv1.StepRequest) int {
+	size := 0
+	for _, m := range request.GetMessages() {
+		for _, e := range m.GetEntries() {
+			size += len(e.GetData())
+		}
+	}
+	return size
+}
--- a/internal/adapter/replica/transport.go
+++ b/internal/adapter/replica/transport.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/cuminwing/cuminwing/internal/pause"
 	"github.com/cuminwing/cuminwing/internal/raft"
 	"github.com/cuminwing/cuminwing/internal/ring"
@@ -37,6 +39,9 @@
 	Client *http.Client
 	// Go starts a goroutine whose context is canceled when the VM stops.
 	Go func(func(context.Context))
+	// Logger reports when requests to a replica begin to fail and when they
+	// succeed again. It may be nil.
+	Logger *zap.Logger
 
 	mu     sync.Mutex
 	queues map[string]*ring.Ring[raft.Message]
@@ -63,11 +68,12 @@
 	queue := ring.New[raft.Message](sendQueueCapacity)
 	t.queues[address] = queue
 	client := raftv1.NewRaftServiceProtobufClient(t.URL(address), t.Client)
-	t.Go(func(ctx context.Context) { t.sendLoop(ctx, client, queue) })
+	t.Go(func(ctx context.Context) { t.sendLoop(ctx, client, address, queue) })
 	return queue
 }
 
-func (t *TwirpTransport) sendLoop(ctx context.Context, client raftv1.RaftService, queue *ring.Ring[raft.Message]) {
+func (t *TwirpTransport) sendLoop(ctx context.Context, client raftv1.RaftService, address string, queue *ring.Ring[raft.Message]) {
+	failures := failureLog{logger: t.Logger, address: address}
 	for {
 		first, ok := queue.Pop(ctx)
 		if !ok {
@@ -75,8 +81,10 @@
 		}
 		request := t.collectBatch(first, queue)
 		callCtx, cancel := context.WithTimeout(ctx, stepTimeout)
+		started := time.Now()
 		_, err := client.Step(callCtx, request)
 		cancel()
+		failures.record(request, time.Since(started), err)
 		if err != nil {
 			pause.For(ctx, sendRetryDelay)
 		}
--- a/internal/daemon/controllog.go
+++ b/internal/daemon/controllog.go
@@ -42,6 +42,7 @@
 			URL:    n.peerURL,
 			Client: n.peerClient,
 			Go:     n.background,
+			Logger: n.logger,
 		},
 		Clock:    n.clock,
 		OnChange: n.logReplicaStatus,
--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -255,7 +255,7 @@
 		Disk:          c.disk,
 		Bootstrap:     bootstrap,
 		StateMachines: map[control.Kind]control.StateMachine{control.KindDocument: c.document, control.KindFleet: c.registry},
-		Transport:     &replica.TwirpTransport{Self: c.settings.selfPeerAddress(), URL: url, Client: c.client, Go: c.startTask},
+		Transport:     &replica.TwirpTransport{Self: c.settings.selfPeerAddress(), URL: url, Client: c.client, Go: c.startTask, Logger: c.logger},
 		Clock:         time.Now,
 		ElectionClock: boottime.Now,
 		OnChange:      c.onReplicaStatus,
