Reproduce replication that never ends over a slow link

What callers saw: routes that had been added were rejected, and no requests were served after the loss of a disk.

--- a/internal/adapter/replica/cluster_test.go
+++ b/internal/adapter/replica/cluster_test.go
@@ -96,11 +96,14 @@
 	vms     []*vm
 	client  *http.Client
 	faults  *lossyTransport
+	// link limits the rate to one VM; nil if no rate is limited.
+	link atomic.Pointer[slowLink]
 }
 
 func newCluster(tb testing.TB, size int) *cluster {
-	faults := &lossyTransport{base: &http.Transport{MaxIdleConnsPerHost: 64}}
-	c := &cluster{tb: tb, client: &http.Client{Transport: faults}, faults: faults}
+	c := &cluster{tb: tb}
+	faults := &lossyTransport{base: &http.Transport{MaxIdleConnsPerHost: 64, DialContext: c.dial}}
+	c.client, c.faults = &http.Client{Transport: faults}, faults
 	addresses := make(map[string]string)
 	var listeners []net.Listener
 	for i := range size {
@@ -126,6 +129,16 @@
 	return c
 }
 
+// dial opens a connection, whose rate is limited if it leads over the slow link.
+func (c *cluster) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, network, address)
+	if link := c.link.Load(); err == nil && link != nil && link.address == address {
+		conn = &slowConn{conn, link}
+	}
+	return conn, err
+}
+
 func url(address string) string { return "http://" + address }
 
 func (c *cluster) start(v *vm, l net.Listener) {
