Replicate large entries over slow links

What callers saw: changes of the configuration were not in force in time at fronts far from the leader, and no request was served after the loss of a disk.

Cause: a request between replicas ended after 300 ms whatever its size, and was sent again from the beginning. Up to 1 MiB and one entry went into a request, so that entries of a few hundred KB never arrived over 30 Mbit/s. Heartbeats waited behind them in the same queue, and a replica whose log was not known to match was sent the same entries every 150 ms. Class: a limit on the duration of a transfer whose size has no limit.

Change: the limit grows with the payload. Entries in flight are limited to 1 MiB and one message. Probes contain entries of 16 KiB at most. A chunk without a response is repeated after the election timeout.

--- a/internal/adapter/replica/failurelog.go
+++ b/internal/adapter/replica/failurelog.go
@@ -17,13 +17,13 @@
 	failed int
 }
 
-// record records the result of a request.
-func (f *failureLog) record(request *raftv1.StepRequest, took time.Duration, err error) {
+// record records the result of a request with a payload of the given size.
+func (f *failureLog) record(request *raftv1.StepRequest, payloadBytes int, took time.Duration, err error) {
 	if f.logger == nil || err == nil && f.failed == 0 {
 		return
 	}
 	fields := []zap.Field{
-		zap.String("address", f.address), zap.Int("messages", len(request.GetMessages())), zap.Int("entry_bytes", entryBytes(request)),
+		zap.String("address", f.address), zap.Int("messages", len(request.GetMessages())), zap.Int("payload_bytes", payloadBytes),
 		zap.Duration("took", took),
 	}
 	if err == nil {
@@ -36,13 +36,3 @@
 	}
 	f.failed++
 }
-
-func entryBytes(request *raftv1.StepRequest) int {
-	size := 0
-	for _, m := range request.GetMessages() {
-		for _, e := range m.GetEntries() {
-			size += len(e.GetData())
-		}
-	}
-	return size
-}
--- a/internal/adapter/replica/replica.go
+++ b/internal/adapter/replica/replica.go
@@ -33,6 +33,12 @@
 	maxAppendBytes = 256 << 10
 	// maxInflight bounds the entries sent to a replica but not acknowledged.
 	maxInflight = 4096
+	// maxInflightBytes bounds their size, and so what a leader that lost its
+	// leadership still has to send.
+	maxInflightBytes = 1 << 20
+	// maxProbeBytes bounds the entries in a message that finds out where the log of
+	// another replica ends.
+	maxProbeBytes = 16 << 10
 	// maxUncommitted bounds the uncommitted entries of a leader.
 	maxUncommitted = 16384
 	// snapshotChunkBytes bounds the snapshot data in one message.
@@ -162,6 +168,8 @@
 		Rand:              rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		MaxAppendBytes:    maxAppendBytes,
 		MaxInflight:       maxInflight,
+		MaxInflightBytes:  maxInflightBytes,
+		MaxProbeBytes:     maxProbeBytes,
 		MaxUncommitted:    maxUncommitted,
 	}, stored)
 	r.publishStatus()
--- a/internal/adapter/replica/transport.go
+++ b/internal/adapter/replica/transport.go
@@ -15,9 +15,12 @@
 )
 
 const (
-	// stepTimeout bounds one request. It is shorter than the election timeout,
-	// so that an unresponsive connection does not cost a leader its lease.
+	// stepTimeout bounds a request without payload. It is shorter than the election
+	// timeout, so that an unresponsive connection does not cost a leader its lease.
 	stepTimeout = ElectionTimeout / 2
+	// minBytesPerSecond is the slowest rate at which payload is expected to be
+	// sent: 2 Mbit/s.
+	minBytesPerSecond = 256 << 10
 	// sendQueueCapacity bounds the messages queued for one replica.
 	sendQueueCapacity = 1024
 	// maxBatchMessages bounds the messages in one request.
@@ -28,8 +31,16 @@
 	sendRetryDelay = 50 * time.Millisecond
 )
 
-// TwirpTransport implements Transport over Twirp. For each replica it has one
-// goroutine, which sends one request at a time.
+// TransferTime returns how long the payload of a call may take beyond the time limit
+// of a call without payload. A limit that does not depend on the size would end the
+// transfer of a large payload over a slow link each time it is tried.
+func TransferTime(payloadBytes int) time.Duration {
+	return time.Duration(payloadBytes) * time.Second / minBytesPerSecond
+}
+
+// TwirpTransport implements Transport over Twirp. For each replica it has two
+// goroutines, which send one request at a time: one for ordered messages, which can
+// be large, and one for those that must not wait for them.
 type TwirpTransport struct {
 	// Self is the address at which other replicas reach this VM.
 	Self string
@@ -43,33 +54,44 @@
 	// succeed again. It may be nil.
 	Logger *zap.Logger
 
-	mu     sync.Mutex
-	queues map[string]*ring.Ring[raft.Message]
+	mu    sync.Mutex
+	peers map[string]*sendQueues
+}
+
+// sendQueues are the messages that wait to be sent to one replica.
+type sendQueues struct {
+	ordered, urgent *ring.Ring[raft.Message]
 }
 
 // Send implements Transport. Messages that do not fit in the queue are dropped;
 // package raft sends them again.
 func (t *TwirpTransport) Send(address string, messages []raft.Message) {
-	queue := t.queueFor(address)
+	queues := t.queuesFor(address)
 	for _, m := range messages {
-		queue.Push(m)
+		if m.Ordered {
+			queues.ordered.Push(m)
+		} else {
+			queues.urgent.Push(m)
+		}
 	}
 }
 
-func (t *TwirpTransport) queueFor(address string) *ring.Ring[raft.Message] {
+func (t *TwirpTransport) queuesFor(address string) *sendQueues {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if queue, ok := t.queues[address]; ok {
-		return queue
+	if queues, ok := t.peers[address]; ok {
+		return queues
 	}
-	if t.queues == nil {
-		t.queues = make(map[string]*ring.Ring[raft.Message])
+	if t.peers == nil {
+		t.peers = make(map[string]*sendQueues)
 	}
-	queue := ring.New[raft.Message](sendQueueCapacity)
-	t.queues[address] = queue
+	queues := &sendQueues{ring.New[raft.Message](sendQueueCapacity), ring.New[raft.Message](sendQueueCapacity)}
+	t.peers[address] = queues
 	client := raftv1.NewRaftServiceProtobufClient(t.URL(address), t.Client)
-	t.Go(func(ctx context.Context) { t.sendLoop(ctx, client, address, queue) })
-	return queue
+	for _, queue := range []*ring.Ring[raft.Message]{queues.ordered, queues.urgent} {
+		t.Go(func(ctx context.Context) { t.sendLoop(ctx, client, address, queue) })
+	}
+	return queues
 }
 
 func (t *TwirpTransport) sendLoop(ctx context.Context, client raftv1.RaftService, address string, queue *ring.Ring[raft.Message]) {
@@ -79,12 +101,12 @@
 		if !ok {
 			return
 		}
-		request := t.collectBatch(first, queue)
-		callCtx, cancel := context.WithTimeout(ctx, stepTimeout)
+		request, size := t.collectBatch(first, queue)
+		callCtx, cancel := context.WithTimeout(ctx, stepTimeout+TransferTime(size))
 		started := time.Now()
 		_, err := client.Step(callCtx, request)
 		cancel()
-		failures.record(request, time.Since(started), err)
+		failures.record(request, size, time.Since(started), err)
 		if err != nil {
 			pause.For(ctx, sendRetryDelay)
 		}
@@ -92,19 +114,20 @@
 }
 
 // collectBatch returns a request with m and further queued messages, up to
-// maxBatchMessages messages or about maxBatchBytes of payload.
-func (t *TwirpTransport) collectBatch(m raft.Message, queue *ring.Ring[raft.Message]) *raftv1.StepRequest {
+// maxBatchMessages messages or about maxBatchBytes of payload, and the size of its
+// payload.
+func (t *TwirpTransport) collectBatch(m raft.Message, queue *ring.Ring[raft.Message]) (*raftv1.StepRequest, int) {
 	request := &raftv1.StepRequest{FromAddress: t.Self}
 	size := 0
 	for {
 		request.Messages = append(request.Messages, encodeMessage(&m))
 		size += payloadSize(&m)
 		if len(request.Messages) == maxBatchMessages || size >= maxBatchBytes {
-			return request
+			return request, size
 		}
 		var ok bool
 		if m, ok = queue.TryPop(); !ok {
-			return request
+			return request, size
 		}
 	}
 }
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -110,51 +110,86 @@
 	return p.responded && n.config.Clock()-p.ackedSendTime < n.leaseDuration
 }
 
-// replicate sends a replica the entries or the snapshot that it lacks. If it
-// sends nothing else and heartbeat is set, it sends a heartbeat.
+// replicate sends a replica the entries or the snapshot that it lacks, and a
+// heartbeat if that is set.
 func (n *Node) replicate(id string, heartbeat bool) {
 	p := n.peers[id]
-	if p == nil {
-		return
-	}
-	if p.next <= n.log.baseIndex {
-		n.sendSnapshot(id, p, heartbeat)
+	switch {
+	case p == nil:
 		return
-	}
-	if p.probing {
+	case p.next <= n.log.baseIndex:
+		n.sendSnapshot(id, p)
+	case p.probing:
 		n.probe(id, p, heartbeat)
 		return
+	default:
+		n.sendEntries(id, p)
+	}
+	if heartbeat {
+		n.sendHeartbeat(id, p)
 	}
-	for p.next <= n.log.last() && p.next-p.match <= n.config.MaxInflight {
+}
+
+// sendEntries sends the entries that a replica lacks, as far as the limits for
+// unacknowledged ones allow. If none can be sent, an empty append follows those
+// without acknowledgement once per heartbeat interval: the response shows whether they,
+// or the acknowledgements, were lost.
+func (n *Node) sendEntries(id string, p *peer) {
+	now := n.config.Clock()
+	if p.next <= n.log.last() && p.hasWindow(&n.config) {
+		p.lastProbe = now
+	}
+	for p.next <= n.log.last() && p.hasWindow(&n.config) {
 		entries := n.log.entriesFrom(p.next, n.config.MaxAppendBytes)
-		n.sendAppend(id, p.next-1, entries)
-		p.next += uint64(len(entries))
-		heartbeat = false
+		n.sendAppend(id, p.next-1, entries, true)
+		p.recordSent(entries)
 	}
-	if heartbeat {
-		n.sendAppend(id, p.next-1, nil)
+	if len(p.inflight) > 0 && now-p.lastProbe >= n.config.HeartbeatInterval {
+		p.lastProbe = now
+		n.sendAppend(id, p.next-1, nil, true)
 	}
 }
 
+// sendHeartbeat sends an empty append after the last entry that the replica is known
+// to have. It may overtake entries, so that a large one delays neither the lease nor
+// the election timer.
+func (n *Node) sendHeartbeat(id string, p *peer) {
+	prev := p.match
+	if _, ok := n.log.term(prev); !ok {
+		// Logs always match at index 0, before the first entry.
+		prev = 0
+	}
+	n.sendAppend(id, prev, nil, false)
+}
+
 // probe sends one append per heartbeat interval to a replica whose log is not
 // known to match. A full window of appends would be rejected one by one, and
-// sending a new window after each rejection would flood the network.
+// sending a new window after each rejection would flood the network. Large entries
+// wait until the log is known to match, because a probe is repeated until the replica
+// responds.
 func (n *Node) probe(id string, p *peer, heartbeat bool) {
 	now := n.config.Clock()
 	if now-p.lastProbe >= n.config.HeartbeatInterval {
 		p.lastProbe = now
-		n.sendAppend(id, p.next-1, n.log.entriesFrom(p.next, n.config.MaxAppendBytes))
+		entries := n.log.entriesFrom(p.next, n.config.MaxProbeBytes)
+		if entriesSize(entries) > n.config.MaxProbeBytes {
+			entries = nil
+		}
+		n.sendAppend(id, p.next-1, entries, false)
 	} else if heartbeat {
-		n.sendAppend(id, p.next-1, nil)
+		n.sendAppend(id, p.next-1, nil, false)
 	}
 }
 
-func (n *Node) sendAppend(to string, prev uint64, entries []Entry) {
+func (n *Node) sendAppend(to string, prev uint64, entries []Entry, ordered bool) {
 	term, _ := n.log.term(prev)
 	n.send(Message{
 		Kind: MsgAppend, To: to, Index: prev, LogTerm: term, Commit: n.log.commit,
-		Entries: entries, SentAt: n.config.Clock(), ReadRound: n.readRound,
+		Entries: entries, SentAt: n.config.Clock(), ReadRound: n.readRound, Ordered: ordered,
 	})
+	if p := n.peers[to]; p != nil {
+		p.sentCommit = max(p.sentCommit, min(n.log.commit, prev+uint64(len(entries))))
+	}
 }
 
 // handleAppend stores entries from the leader and responds.
@@ -230,8 +265,7 @@
 	if m.Index <= p.match || p.probing && m.Index+1 != p.next {
 		return
 	}
-	p.next = max(p.match+1, min(m.Index, m.RejectHint+1))
-	p.probing = true
+	p.probeFrom(max(p.match+1, min(m.Index, m.RejectHint+1)))
 	p.lastProbe = n.config.Clock() - n.config.HeartbeatInterval
 	n.replicate(m.From, false)
 }
@@ -242,14 +276,19 @@
 	}
 	p.match = max(p.match, index)
 	p.next = max(p.next, index+1)
+	p.recordStored(p.match)
 	p.probing = false
-	p.snapshotIndex = 0
+	if p.next > n.log.baseIndex {
+		p.snapshotIndex = 0
+	}
 	n.advanceCommit()
 	if n.transferee == id {
 		n.finishTransfer()
 	}
 	if n.role == Leader {
-		n.replicate(id, false)
+		// A heartbeat tells a replica that has stored an entry late that it is
+		// committed.
+		n.replicate(id, p.sentCommit < min(n.log.commit, p.match))
 	}
 }
 
--- a/internal/raft/log.go
+++ b/internal/raft/log.go
@@ -86,6 +86,14 @@
 	return all
 }
 
+func entriesSize(entries []Entry) int {
+	size := 0
+	for i := range entries {
+		size += len(entries[i].Data)
+	}
+	return size
+}
+
 // add appends entries, which must directly follow the last one.
 func (l *entryLog) add(entries ...Entry) {
 	for _, e := range entries {
--- a/internal/raft/network_test.go
+++ b/internal/raft/network_test.go
@@ -55,6 +55,8 @@
 	tickInterval                  time.Duration
 	maxAppendBytes                int
 	maxInflight                   uint64
+	maxInflightBytes              int
+	maxProbeBytes                 int
 	// earlyElections makes about half of all election timeouts the shortest
 	// possible.
 	earlyElections bool
@@ -93,6 +95,7 @@
 func newNetwork(seed uint64, voters, spares int, rates []float64) *network {
 	w := &network{
 		rand: rand.New(rand.NewPCG(seed, 1)), now: simStartTime, maxDelay: simStep, tickInterval: simStep, maxAppendBytes: 64, maxInflight: 16,
+		maxInflightBytes: 1024, maxProbeBytes: 64,
 		blocked: make(map[link]bool), leaderByTerm: make(map[uint64]string), checksums: []uint32{0},
 	}
 	addresses := make(map[string]string)
@@ -141,6 +144,7 @@
 		ID: h.id, ElectionTimeout: simElectionTimeout, HeartbeatInterval: 300 * time.Millisecond,
 		Clock: func() time.Duration { return w.clock(h) }, Rand: rand.New(w),
 		MaxAppendBytes: w.maxAppendBytes, MaxInflight: w.maxInflight, MaxUncommitted: 256,
+		MaxInflightBytes: w.maxInflightBytes, MaxProbeBytes: w.maxProbeBytes,
 	}, stored)
 }
 
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -29,6 +29,12 @@
 	// MaxInflight limits the entries sent to a replica but not yet acknowledged.
 	// The last append message may exceed it.
 	MaxInflight uint64
+	// MaxInflightBytes limits the size of the entries sent to a replica but not yet
+	// acknowledged. The last append message may exceed it.
+	MaxInflightBytes int
+	// MaxProbeBytes limits the entries in a message that finds out where the log of
+	// a replica ends. Such messages are repeated until the replica responds.
+	MaxProbeBytes int
 	// MaxUncommitted limits the uncommitted entries in the leader's log. Further
 	// proposals fail with ErrBusy.
 	MaxUncommitted uint64
@@ -109,8 +115,15 @@
 	// entry to send.
 	match uint64
 	next  uint64
+	// inflight holds the appends sent but not yet acknowledged, oldest first, and
+	// inflightBytes the size of their entries.
+	inflight      []sentAppend
+	inflightBytes int
+	// sentCommit is the latest commit index that the replica can have learned.
+	sentCommit uint64
 	// probing is set until the logs are known to match up to the entry before
-	// next. lastProbe is when the last probe was sent.
+	// next. lastProbe is when the last probe was sent, or the last append that
+	// shows whether earlier ones were lost.
 	probing   bool
 	lastProbe time.Duration
 	// ackedSendTime is the send time of the latest request that the replica has
@@ -128,6 +141,44 @@
 	lastChunkSent  time.Duration
 }
 
+// sentAppend is an append that has been sent.
+type sentAppend struct {
+	// last is the index of its last entry.
+	last  uint64
+	bytes int
+}
+
+// hasWindow reports whether the limits for unacknowledged entries allow another
+// append.
+func (p *peer) hasWindow(c *Config) bool {
+	return p.next-p.match <= c.MaxInflight && p.inflightBytes < c.MaxInflightBytes
+}
+
+// recordSent records an append of the entries from p.next on.
+func (p *peer) recordSent(entries []Entry) {
+	size := entriesSize(entries)
+	p.next += uint64(len(entries))
+	p.inflight = append(p.inflight, sentAppend{p.next - 1, size})
+	p.inflightBytes += size
+}
+
+// recordStored removes the appends that the replica has stored up to index.
+func (p *peer) recordStored(index uint64) {
+	for len(p.inflight) > 0 && p.inflight[0].last <= index {
+		p.inflightBytes -= p.inflight[0].bytes
+		p.inflight = p.inflight[1:]
+	}
+}
+
+// probeFrom makes the leader find out whether the log of the replica matches up to
+// the entry before next.
+func (p *peer) probeFrom(next uint64) {
+	p.next = next
+	p.probing = true
+	p.inflight, p.inflightBytes = nil, 0
+	p.sentCommit = min(p.sentCommit, p.match)
+}
+
 // New returns a replica that resumes from its persistent state.
 func New(config Config, stored PersistentState) *Node {
 	n := &Node{
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -208,6 +208,8 @@
 	w.tickInterval = rapid.SampledFrom([]time.Duration{simStep, 100 * time.Millisecond}).Draw(t, "tick")
 	w.earlyElections = rapid.Bool().Draw(t, "early elections")
 	w.maxAppendBytes = rapid.SampledFrom([]int{1, 64}).Draw(t, "append bytes")
+	w.maxInflightBytes = rapid.SampledFrom([]int{1, 64}).Draw(t, "inflight bytes")
+	w.maxProbeBytes = rapid.SampledFrom([]int{0, 64}).Draw(t, "probe bytes")
 	w.maxInflight = rapid.SampledFrom([]uint64{2, 16}).Draw(t, "inflight")
 	for _, h := range w.hosts {
 		w.start(h)
--- a/internal/raft/snapshot.go
+++ b/internal/raft/snapshot.go
@@ -40,19 +40,17 @@
 }
 
 // sendSnapshot sends the current snapshot chunk to an active replica. An inactive
-// one gets only heartbeats, to save bandwidth between regions.
-func (n *Node) sendSnapshot(id string, p *peer, heartbeat bool) {
+// one gets only heartbeats, to save bandwidth between regions. A chunk without a
+// response is repeated after the election timeout.
+func (n *Node) sendSnapshot(id string, p *peer) {
 	if !n.active(p) {
-		if heartbeat {
-			n.sendAppend(id, n.log.last(), nil)
-		}
 		return
 	}
 	now := n.config.Clock()
 	switch {
 	case p.snapshotIndex != n.snapshot.Index:
 		p.snapshotIndex, p.snapshotOffset = n.snapshot.Index, 0
-	case now-p.lastChunkSent < n.config.HeartbeatInterval:
+	case now-p.lastChunkSent < n.config.ElectionTimeout:
 		return
 	}
 	n.sendChunk(id, p)
@@ -62,7 +60,7 @@
 	p.lastChunkSent = n.config.Clock()
 	n.send(Message{
 		Kind: MsgSnapshot, To: id, Snapshot: n.snapshot, Offset: p.snapshotOffset,
-		SentAt: n.config.Clock(), ReadRound: n.readRound,
+		SentAt: n.config.Clock(), ReadRound: n.readRound, Ordered: true,
 	})
 }
 
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -116,6 +116,9 @@
 	// Bootstrapped is set if the sender has finished bootstrapping and is allowed
 	// to vote.
 	Bootstrapped bool
+	// Ordered is set if the message must not overtake other ordered messages to
+	// the same replica. Messages without it are small and urgent. It is not sent.
+	Ordered bool
 }
 
 // NeedsSync reports whether m, such as a vote or an acknowledgement, may be sent
