--- a/internal/adapter/replica/cluster_test.go
+++ b/internal/adapter/replica/cluster_test.go
@@ -25,6 +25,9 @@
 // response to a command holds the previous value and the log index of the
 // command.
 type register struct {
+	// ballast is the size of the part of a snapshot that has no meaning.
+	ballast int
+
 	mu      sync.Mutex
 	history []uint64
 }
@@ -47,7 +50,7 @@
 }
 
 func (r *register) Snapshot() ([]byte, error) {
-	var out []byte
+	out := protowire.AppendBytes(nil, make([]byte, r.ballast))
 	for _, v := range r.history {
 		out = protowire.AppendVarint(out, v)
 	}
@@ -58,6 +61,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.history = nil
+	_, n := protowire.ConsumeBytes(data)
+	data = data[max(n, 0):]
 	for len(data) > 0 {
 		var v uint64
 		v, data = consumeNumber(data)
--- a/internal/adapter/replica/replica_test.go
+++ b/internal/adapter/replica/replica_test.go
@@ -189,9 +189,18 @@
 // Guards against a learner that cannot join because the entries it lacks are
 // compacted, and against losing state when a snapshot is installed.
 func TestSnapshotInstall(t *testing.T) {
+	for name, ballast := range map[string]int{"one chunk": 0, "several chunks": 3 * snapshotChunkBytes} {
+		t.Run(name, func(t *testing.T) { checkSnapshotInstall(t, ballast) })
+	}
+}
+
+// checkSnapshotInstall adds a learner that has to be sent a snapshot of at least
+// ballast bytes.
+func checkSnapshotInstall(t *testing.T, ballast int) {
 	const commands = retainEntries + 500
 	c := newCluster(t, 1)
 	leader := c.leader(c.vms...)
+	leader.state.ballast = ballast
 	var wg sync.WaitGroup
 	for i := range 50 {
 		wg.Go(func() {
--- a/internal/raft/snapshot.go
+++ b/internal/raft/snapshot.go
@@ -60,7 +60,7 @@
 	p.lastChunkSent = n.config.Clock()
 	n.send(Message{
 		Kind: MsgSnapshot, To: id, Snapshot: n.snapshot, Offset: p.snapshotOffset,
-		SentAt: n.config.Clock(), ReadRound: n.readRound, Ordered: true,
+		SentAt: p.lastChunkSent, ReadRound: n.readRound, Ordered: true,
 	})
 }
 
