Replicate documents in compressed form

What callers saw: with a thousand routes, fronts of the grown sites still rejected routes 3 s after their acknowledgement: the members of the core in the other region were more than 0.9 s behind, so the polls of their fronts failed.

Cause: each change is replicated in full, as the operator sent it: 210 KB, eight times a second, to three members over 60 Mbit/s.

Change: the proposal holds the compressed document, which is also what fronts get. A log that holds uncompressed documents of earlier versions is read as before.

--- a/internal/edge/corefollow.go
+++ b/internal/edge/corefollow.go
@@ -70,7 +70,7 @@
 	var err error
 	if stored := c.document.Current(); stored.Version > request.GetDocumentVersion() {
 		response.DocumentVersion = stored.Version
-		response.RawDocument, err = c.encoded.document(stored)
+		response.RawDocument, err = compressedDocument(stored)
 	}
 	if revision, _ := c.registry.Versions(); err == nil && revision > request.GetRevision() {
 		response.FleetDelta, err = c.encoded.delta(c.registry, request.GetRevision())
--- a/internal/edge/corespending.go
+++ b/internal/edge/corespending.go
@@ -56,13 +56,13 @@
 // previousSpending returns what workspaces may have spent under the previous leader.
 func (c *Core) previousSpending() map[string]ratelimit.Spending {
 	rates := make(map[string]gatewayconfig.Workspace)
-	stored := c.document.Current()
-	if document, err := c.decode(stored.Raw); err == nil {
+	document, version, err := c.decodeCurrent()
+	if err == nil {
 		for _, w := range document.Workspaces {
 			rates[w.Name] = w
 		}
-	} else if stored.Version > 0 {
-		c.logger.Error("decoding the active document failed", zap.Uint64("version", stored.Version), zap.Error(err))
+	} else if version > 0 {
+		c.logger.Error("decoding the active document failed", zap.Uint64("version", version), zap.Error(err))
 	}
 	return c.settings.Guarantees.Quota.AddUnrecorded(c.registry.Spent(), func(workspace string) (rate, burst float64, ok bool) {
 		w, ok := rates[workspace]
--- a/internal/edge/corestores.go
+++ b/internal/edge/corestores.go
@@ -93,14 +93,13 @@
 // storeAddresses returns the addresses of the stores in the current document. It
 // clears the probe results if the stores have changed.
 func (c *Core) storeAddresses() []string {
-	stored := c.document.Current()
 	h := c.storeHealth
-	if stored.Version == h.version {
+	if c.document.Current().Version == h.version {
 		return h.addresses
 	}
-	document, err := c.decode(stored.Raw)
+	document, version, err := c.decodeCurrent()
 	if err != nil {
-		c.logger.Error("decoding the active document failed", zap.Uint64("version", stored.Version), zap.Error(err))
+		c.logger.Error("decoding the active document failed", zap.Uint64("version", version), zap.Error(err))
 		return h.addresses
 	}
 	var addresses []string
@@ -112,7 +111,7 @@
 	if !slices.Equal(addresses, h.addresses) {
 		h.reset()
 	}
-	h.version, h.addresses = stored.Version, addresses
+	h.version, h.addresses = version, addresses
 	return addresses
 }
 
--- a/internal/edge/encodedstate.go
+++ b/internal/edge/encodedstate.go
@@ -18,34 +18,17 @@
 
 var errStateTooLarge = errors.Newf("the state from the core exceeds %d bytes", maxStateBytes)
 
-// encodedState holds the encoded document and the encoded changes of the registry
-// since earlier revisions. Most fronts of a member have the same versions, so each
-// change is encoded and compressed once.
+// encodedState holds the encoded changes of the registry since earlier revisions.
+// Most fronts of a member have the same revision, so each change is encoded and
+// compressed once.
 type encodedState struct {
-	mu              sync.Mutex
-	documentVersion uint64
-	documentData    []byte
-	revision        uint64
-	deltaBySince    map[uint64][]byte
+	mu           sync.Mutex
+	revision     uint64
+	deltaBySince map[uint64][]byte
 	// encodings counts the encoded deltas.
 	encodings int
 }
 
-// document returns the encoded document.
-func (e *encodedState) document(stored gatewayconfig.StoredDocument) ([]byte, error) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.documentVersion == stored.Version && e.documentData != nil {
-		return e.documentData, nil
-	}
-	data, err := compress(stored.Raw)
-	if err != nil {
-		return nil, err
-	}
-	e.documentVersion, e.documentData = stored.Version, data
-	return data, nil
-}
-
 // delta returns the encoded changes of the registry after a revision.
 func (e *encodedState) delta(registry *fleet.Registry, since uint64) ([]byte, error) {
 	e.mu.Lock()
@@ -69,6 +52,29 @@
 	return data, nil
 }
 
+// rawDocument returns a document as the operator sent it.
+func rawDocument(stored gatewayconfig.StoredDocument) ([]byte, error) {
+	if !isCompressed(stored.Content) {
+		return stored.Content, nil
+	}
+	return decompress(stored.Content)
+}
+
+// compressedDocument returns a document in compressed form.
+func compressedDocument(stored gatewayconfig.StoredDocument) ([]byte, error) {
+	if isCompressed(stored.Content) {
+		return stored.Content, nil
+	}
+	return compress(stored.Content)
+}
+
+// gzipMagic begins compressed data.
+var gzipMagic = []byte{0x1f, 0x8b}
+
+// isCompressed reports whether a document was proposed in compressed form. Earlier
+// versions proposed it as the operator sent it, which is JSON.
+func isCompressed(content []byte) bool { return bytes.HasPrefix(content, gzipMagic) }
+
 func compress(data []byte) ([]byte, error) {
 	var b bytes.Buffer
 	w, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
--- a/internal/gatewayconfig/document_test.go
+++ b/internal/gatewayconfig/document_test.go
@@ -92,15 +92,15 @@
 	}{{5, "five"}, {4, "four"}, {5, "other"}, {9, "nine"}, {7, "seven"}} {
 		m.Apply(1, time.Time{}, EncodeProposal(proposal.version, []byte(proposal.raw)))
 	}
-	if got := m.Current(); got.Version != 9 || string(got.Raw) != "nine" || changes != 2 {
-		t.Errorf("got version %d with content %q after %d changes, want 9 with \"nine\" after 2", got.Version, got.Raw, changes)
+	if got := m.Current(); got.Version != 9 || string(got.Content) != "nine" || changes != 2 {
+		t.Errorf("got version %d with content %q after %d changes, want 9 with \"nine\" after 2", got.Version, got.Content, changes)
 	}
 	data, err := m.Snapshot()
 	if err != nil {
 		t.Fatal(err)
 	}
 	var restored StateMachine
-	if err := restored.Restore(data); err != nil || string(restored.Current().Raw) != "nine" {
+	if err := restored.Restore(data); err != nil || string(restored.Current().Content) != "nine" {
 		t.Errorf("restored %+v, error %v; want content \"nine\"", restored.Current(), err)
 	}
 }
--- a/internal/gatewayconfig/statemachine.go
+++ b/internal/gatewayconfig/statemachine.go
@@ -8,10 +8,11 @@
 	"github.com/cockroachdb/errors"
 )
 
-// StoredDocument is one accepted document in the form that the operator sent.
+// StoredDocument is one accepted document.
 type StoredDocument struct {
 	Version uint64
-	Raw     []byte
+	// Content is the document in the form in which it was proposed.
+	Content []byte
 }
 
 // StateMachine is the replicated configuration document. The highest version
@@ -29,9 +30,9 @@
 const versionBytes = 8
 
 // EncodeProposal returns the command that proposes a document.
-func EncodeProposal(version uint64, raw []byte) []byte {
-	buf := binary.LittleEndian.AppendUint64(make([]byte, 0, versionBytes+len(raw)), version)
-	return append(buf, raw...)
+func EncodeProposal(version uint64, content []byte) []byte {
+	buf := binary.LittleEndian.AppendUint64(make([]byte, 0, versionBytes+len(content)), version)
+	return append(buf, content...)
 }
 
 // Current returns the current document. Its Version is 0 if there is none yet.
@@ -50,7 +51,7 @@
 	m.mu.Lock()
 	changed := version > m.stored.Version
 	if changed {
-		m.stored = StoredDocument{Version: version, Raw: append([]byte(nil), body[versionBytes:]...)}
+		m.stored = StoredDocument{Version: version, Content: append([]byte(nil), body[versionBytes:]...)}
 	}
 	m.mu.Unlock()
 	m.notify(changed)
@@ -66,7 +67,7 @@
 // Snapshot implements control.StateMachine.
 func (m *StateMachine) Snapshot() ([]byte, error) {
 	s := m.Current()
-	return EncodeProposal(s.Version, s.Raw), nil
+	return EncodeProposal(s.Version, s.Content), nil
 }
 
 // Restore implements control.StateMachine.
@@ -77,7 +78,7 @@
 	m.mu.Lock()
 	m.stored = StoredDocument{
 		Version: binary.LittleEndian.Uint64(data),
-		Raw:     append([]byte(nil), data[versionBytes:]...),
+		Content: append([]byte(nil), data[versionBytes:]...),
 	}
 	m.mu.Unlock()
 	m.notify(true)
