Let the time limits of calls with documents grow with their size

Cause: as for requests between replicas: a poll of a front ended 1.2 s after its start, of which it may be held for 0.5 s, and a proposal that is passed to the leader after 0.95 s, however large the document. A poll was also canceled, while its response arrived, to report spending.

Change: received bytes extend the limit of a poll by the time that they take at 2 Mbit/s, so a stalled one still ends. The limit of a proposal grows with its size in the same way. A response that is being received is completed before spending is reported.

Result: TestLargeResponseOverASlowLinkIsReceived (before: half of it, then the deadline), TestStalledResponseEnds and TestProposalTimeoutGrowsWithItsSize pass.

--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -27,8 +27,9 @@
 )
 
 const (
-	// proposeTimeout limits a proposal to the control log. Operators' tools try
-	// another VM after one second without a response.
+	// proposeTimeout limits a proposal to the control log, not counting the time
+	// that its bytes may take. Operators' tools try another VM after one second
+	// without a response, or later with a large document.
 	proposeTimeout = 950 * time.Millisecond
 	// readTimeout limits a linearizable read.
 	readTimeout = 900 * time.Millisecond
@@ -462,9 +463,12 @@
 	return slices.Repeat([]uint64{index}, len(calls)), nil
 }
 
+// proposalTimeout returns the time limit of a proposal with the given size in bytes.
+func proposalTimeout(size int) time.Duration { return proposeTimeout + replica.TransferTime(size) }
+
 // propose appends a command to the control log and waits until it is committed.
 func (c *Core) propose(ctx context.Context, kind control.Kind, body []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, proposalTimeout(len(body)))
 	defer cancel()
 	if _, err := c.log.Propose(ctx, kind, body); err != nil {
 		return errors.Mark(err, ErrUnavailable)
--- a/internal/edge/frontsync.go
+++ b/internal/edge/frontsync.go
@@ -22,8 +22,9 @@
 )
 
 const (
-	// followTimeout limits one call to the core. It is 700 ms longer than a
-	// member of the core may hold the call.
+	// followTimeout limits one call to the core, not counting the time that the
+	// received bytes may take. It is 700 ms longer than a member of the core may
+	// hold the call.
 	followTimeout = fleetsync.MaxWait + 700*time.Millisecond
 	// idleConnectionFraction is the fraction of a target's connection limit
 	// that all fronts together keep as idle connections. The rest is left for
@@ -92,12 +93,12 @@
 // without waiting for a change. The call ends early with errReportDue if the shares
 // have to be reported at once.
 func (f *Front) poll(ctx context.Context, address string, noWait bool) (pollResult, error) {
-	ctx, stop := context.WithTimeout(ctx, followTimeout)
+	ctx, limit, stop := withTransferLimit(ctx, followTimeout)
 	defer stop()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if !noWait {
-		go f.cancelOnReportDue(ctx, cancel)
+		go f.cancelOnReportDue(ctx, limit, cancel)
 	}
 	state := f.state.Load()
 	result := pollResult{}
@@ -124,11 +125,14 @@
 	return result, err
 }
 
-// cancelOnReportDue cancels a held call when the shares have to be reported at once.
-func (f *Front) cancelOnReportDue(ctx context.Context, cancel context.CancelCauseFunc) {
+// cancelOnReportDue cancels a held call when the shares have to be reported at once. A
+// response that is being received is completed, as the next call follows it.
+func (f *Front) cancelOnReportDue(ctx context.Context, limit *transferLimit, cancel context.CancelCauseFunc) {
 	select {
 	case <-f.shares.ReportDue():
-		cancel(errReportDue)
+		if !limit.receiving() {
+			cancel(errReportDue)
+		}
 	case <-ctx.Done():
 	}
 }
--- a/internal/edge/peerclient.go
+++ b/internal/edge/peerclient.go
@@ -1,13 +1,16 @@
 package edge
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cuminwing/cuminwing/internal/adapter/replica"
 	"github.com/cuminwing/cuminwing/internal/adapter/sockopt"
 )
 
@@ -41,7 +44,8 @@
 func (b bodyLimiter) RoundTrip(r *http.Request) (*http.Response, error) {
 	response, err := b.Transport.RoundTrip(r)
 	if err == nil {
-		response.Body = &limitedBody{response.Body, maxPeerResponseBytes}
+		limit, _ := r.Context().Value(transferLimitKey{}).(*transferLimit)
+		response.Body = &limitedBody{response.Body, maxPeerResponseBytes, limit}
 	}
 	return response, err
 }
@@ -50,13 +54,58 @@
 type limitedBody struct {
 	io.ReadCloser
 	remaining int64
+	// limit is the time limit that received bytes extend; nil if there is none.
+	limit *transferLimit
 }
 
 // Read implements io.Reader.
 func (l *limitedBody) Read(b []byte) (int, error) {
 	n, err := l.ReadCloser.Read(b)
+	l.limit.extend(n)
 	if l.remaining -= int64(n); l.remaining < 0 {
 		return 0, errPeerResponseTooLarge
 	}
 	return n, err
 }
+
+type transferLimitKey struct{}
+
+// transferLimit is a time limit of a call that grows with the received bytes, so that
+// a large response over a slow link can be completed and one that stalls ends.
+type transferLimit struct {
+	mu       sync.Mutex
+	deadline time.Time
+	timer    *time.Timer
+	received int
+}
+
+// withTransferLimit returns a context for a call that ends after limit, not counting
+// the time that the bytes of the response may take.
+func withTransferLimit(ctx context.Context, limit time.Duration) (context.Context, *transferLimit, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	l := &transferLimit{deadline: time.Now().Add(limit)}
+	l.timer = time.AfterFunc(limit, func() { cancel(context.DeadlineExceeded) })
+	return context.WithValue(ctx, transferLimitKey{}, l), l, func() {
+		l.timer.Stop()
+		cancel(context.Canceled)
+	}
+}
+
+// extend adds the time that n received bytes may take.
+func (l *transferLimit) extend(n int) {
+	if l == nil || n <= 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.received += n
+	l.deadline = l.deadline.Add(replica.TransferTime(n))
+	l.timer.Reset(time.Until(l.deadline))
+}
+
+// receiving reports whether a part of the response has been received.
+func (l *transferLimit) receiving() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.received > 0
+}
