Keep a segment that is written anew after a crash

What callers could see: a configuration that had been acknowledged comes back older.

Cause: a power loss while a segment is begun can leave its header without a record. The next start writes the segment anew under the same name and listed it twice, once without entries.

Change: a segment is listed once.

Result: TestSegmentThatIsWrittenAnewIsKept (before: no entries after the restart) passes.

--- a/internal/adapter/disk/store.go
+++ b/internal/adapter/disk/store.go
@@ -282,7 +282,10 @@
 	if _, err := f.Write(encodeFileHeader(segmentMagic, s.nextRecord)); err != nil {
 		return err
 	}
-	s.segments = append(s.segments, segment{name: name, firstRecord: s.nextRecord})
+	if n := len(s.segments); n == 0 || s.segments[n-1].name != name {
+		// A segment without records, left by a crash, is written anew.
+		s.segments = append(s.segments, segment{name: name, firstRecord: s.nextRecord})
+	}
 	s.segmentSize = headerBytes
 	if err := s.writeRecord(record{hardState: &s.hardState, reset: reset}); err != nil {
 		return err
--- a/internal/adapter/disk/store_test.go
+++ b/internal/adapter/disk/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"flag"
+	"fmt"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -358,3 +359,31 @@
 	_ = s.Close()
 	_ = os.Remove(filepath.Join(dir, lockFileName))
 }
+
+// Guards against the loss of acknowledged entries after two power losses in a row: the
+// first leaves a segment with a header and no record, which the next start writes anew.
+func TestSegmentThatIsWrittenAnewIsKept(t *testing.T) {
+	dir := t.TempDir()
+	name := writeSampleLog(t, dir)
+	data, err := os.ReadFile(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	next := uint64(len(recordStarts(data)))
+	empty := filepath.Join(dir, fmt.Sprintf("%s%016x", segmentPrefix, next))
+	if err := os.WriteFile(empty, encodeFileHeader(segmentMagic, next), fileMode); err != nil {
+		t.Fatal(err)
+	}
+	s, _, _ := openStore(t, dir, Options{})
+	save(t, s, raft.Ready{Entries: entries(3, 7, 9)})
+	if err := s.SaveSnapshot(raft.Snapshot{SnapshotMeta: raft.SnapshotMeta{Index: 6, Term: 3}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	_, stored, _ := openStore(t, dir, Options{})
+	if want := entries(3, 7, 9); !reflect.DeepEqual(stored.Entries, want) {
+		t.Errorf("entries after the restart are %v, want %v", stored.Entries, want)
+	}
+}
