Sync the directory after the removal of each segment

What callers could see: a member of the core that does not start again after a power loss, so that the next loss stops all changes.

Cause: obsolete segments were removed in a loop with one sync of the directory at its end. After a power loss each removal may be undone independently: a segment that is back while the next one is gone leaves a gap, and the log is not opened.

Change: the directory is synced after each removal, so that only the oldest segments can be missing.

--- a/internal/adapter/disk/file.go
+++ b/internal/adapter/disk/file.go
@@ -60,5 +60,5 @@
 	if err := os.Rename(temp, name); err != nil {
 		return err
 	}
-	return syncDir(filepath.Dir(name))
+	return s.syncDir(filepath.Dir(name))
 }
--- a/internal/adapter/disk/segments.go
+++ b/internal/adapter/disk/segments.go
@@ -70,7 +70,7 @@
 	if err := os.Remove(path); err != nil {
 		return err
 	}
-	return syncDir(r.store.dir)
+	return r.store.syncDir(r.store.dir)
 }
 
 func (r *replayer) replayRecords(path string, data []byte, last bool) error {
@@ -153,18 +153,17 @@
 }
 
 // removeObsoleteSegments removes the oldest segments, as long as the snapshot
-// covers all their entries.
+// covers all their entries. It syncs the directory after each removal: otherwise a
+// power loss could bring back a segment that is followed by a removed one.
 func (s *Store) removeObsoleteSegments() error {
-	removed := false
 	for len(s.segments) > 1 && s.segments[0].lastEntry <= s.snapshot.Index {
 		if err := os.Remove(filepath.Join(s.dir, s.segments[0].name)); err != nil {
 			return err
 		}
 		s.segments = s.segments[1:]
-		removed = true
-	}
-	if !removed {
-		return nil
+		if err := s.syncDir(s.dir); err != nil {
+			return err
+		}
 	}
-	return syncDir(s.dir)
+	return nil
 }
--- a/internal/adapter/disk/store.go
+++ b/internal/adapter/disk/store.go
@@ -44,6 +44,8 @@
 	SegmentBytes int64
 	// Open opens files for writing. Nil means os.OpenFile.
 	Open OpenFunc
+	// SyncDir syncs a directory. Nil means fsync. Only tests set it.
+	SyncDir func(name string) error
 }
 
 // CorruptError reports damage to a file that a crash cannot have caused.
@@ -76,6 +78,7 @@
 type Store struct {
 	dir          string
 	open         OpenFunc
+	syncDir      func(name string) error
 	segmentBytes int64
 	lockFile     *os.File
 	segments     []segment
@@ -92,10 +95,13 @@
 // Open reads the files in dir and returns the stored state and the data of the
 // newest snapshot. It creates dir if it does not exist.
 func Open(dir string, options Options) (*Store, raft.PersistentState, []byte, error) {
-	s := &Store{dir: dir, open: options.Open, segmentBytes: options.SegmentBytes, nextRecord: 1}
+	s := &Store{dir: dir, open: options.Open, syncDir: options.SyncDir, segmentBytes: options.SegmentBytes, nextRecord: 1}
 	if s.open == nil {
 		s.open = openFile
 	}
+	if s.syncDir == nil {
+		s.syncDir = syncDir
+	}
 	if s.segmentBytes == 0 {
 		s.segmentBytes = defaultSegmentBytes
 	}
@@ -139,7 +145,7 @@
 	if err := os.MkdirAll(s.dir, dirMode); err != nil {
 		return err
 	}
-	if err := syncDir(filepath.Dir(s.dir)); err != nil {
+	if err := s.syncDir(filepath.Dir(s.dir)); err != nil {
 		return err
 	}
 	lock, err := os.OpenFile(filepath.Join(s.dir, lockFileName), os.O_RDWR|os.O_CREATE, fileMode)
@@ -173,7 +179,7 @@
 	if err := os.Remove(filepath.Join(s.dir, newMarkerName)); err != nil {
 		return err
 	}
-	return syncDir(s.dir)
+	return s.syncDir(s.dir)
 }
 
 func (s *Store) removeTempFiles() error {
@@ -290,7 +296,7 @@
 	if err := s.writeRecord(record{hardState: &s.hardState, reset: reset}); err != nil {
 		return err
 	}
-	return syncDir(s.dir)
+	return s.syncDir(s.dir)
 }
 
 func encodeFileHeader(magic string, number uint64) []byte {
--- a/internal/adapter/disk/store_test.go
+++ b/internal/adapter/disk/store_test.go
@@ -387,3 +387,39 @@
 		t.Errorf("entries after the restart are %v, want %v", stored.Entries, want)
 	}
 }
+
+// Guards against a log that cannot be opened after a power loss: each file that was
+// removed without a sync of the directory may be back, so that the segments would have
+// a gap.
+func TestPowerLossWhileSegmentsAreRemovedLeavesNoGap(t *testing.T) {
+	dir := t.TempDir()
+	for i := range uint64(4) {
+		s, _, _ := openStore(t, dir, Options{})
+		save(t, s, raft.Ready{Entries: entries(1, i+1, i+1)})
+		if err := s.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	listSegments := func() []string {
+		names, err := filepath.Glob(filepath.Join(dir, segmentPrefix+"*"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return names
+	}
+	removing, durable := false, 0
+	s, _, _ := openStore(t, dir, Options{SyncDir: func(string) error {
+		if left := len(listSegments()); removing && durable-left > 1 {
+			t.Errorf("%d segments were removed between two syncs of the directory", durable-left)
+		}
+		durable = len(listSegments())
+		return nil
+	}})
+	removing, durable = true, len(listSegments())
+	if err := s.SaveSnapshot(raft.Snapshot{SnapshotMeta: raft.SnapshotMeta{Index: 4, Term: 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if left := len(listSegments()); left != 1 {
+		t.Errorf("%d segments are left, want 1", left)
+	}
+}
