Log the shared parts of prompts whose attempts failed

Cause: the log lines of a request did not show the parts of its prompt, so that requests that crash engines could not be told from others.

--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -345,7 +345,8 @@
 			return refused
 		}
 		c.Logger.Info("retrying request after failed attempt", zap.String("id", c.request.ID), zap.String("target", c.targetID),
-			zap.String("result", result.String()), zap.String("reason", c.reason), zap.Int64("last_event", c.lastEventID))
+			zap.String("result", result.String()), zap.String("reason", c.reason), zap.Int64("last_event", c.lastEventID),
+			zap.Strings("parts", c.sharedParts()))
 		if result != resultOtherWeights {
 			c.placementRequest.Exclude = append(c.placementRequest.Exclude, choice.Target.ID)
 		}
