Reproduce a part of prompts that crashes one engine after the other

What callers saw: requests that had nothing to do with the part were broken off with the engines that they shared with it.

--- /dev/null
+++ b/internal/edge/quarantine_test.go
@@ -0,0 +1,186 @@
+package edge
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cuminwing/cuminwing/internal/fleet"
+)
+
+// fatalPart is the part of a prompt that crashes fragile engines.
+const fatalPart = "fatal"
+
+// fragileEngines are engines that crash when they begin to answer a prompt with
+// fatalPart. A crashed engine is back after restartTime.
+type fragileEngines struct {
+	t           *testing.T
+	restartTime time.Duration
+
+	mu sync.Mutex
+	// fatal holds the times at which prompts with fatalPart have reached an engine.
+	fatal   []time.Time
+	stopped bool
+	conns   map[string]map[net.Conn]bool
+}
+
+// start starts an engine that listens on an address until the test ends.
+func (e *fragileEngines) start(address string) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		e.t.Error(err)
+		return
+	}
+	e.mu.Lock()
+	e.conns[address] = make(map[net.Conn]bool)
+	if e.stopped {
+		_ = listener.Close()
+	}
+	e.mu.Unlock()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		e.mu.Lock()
+		e.conns[address][conn] = true
+		e.mu.Unlock()
+		go e.answer(conn, listener, address)
+	}
+}
+
+func (e *fragileEngines) answer(conn net.Conn, listener net.Listener, address string) {
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			_ = conn.Close()
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		if strings.Contains(r.Header.Get("Parts"), fatalPart) {
+			e.crash(listener, address)
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nok", r.Header.Get("Id"))
+	}
+}
+
+func (e *fragileEngines) crash(listener net.Listener, address string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fatal = append(e.fatal, time.Now())
+	_ = listener.Close()
+	for conn := range e.conns[address] {
+		_ = conn.Close()
+	}
+	time.AfterFunc(e.restartTime, func() {
+		e.mu.Lock()
+		stopped := e.stopped
+		e.mu.Unlock()
+		if !stopped {
+			go e.start(address)
+		}
+	})
+}
+
+func (e *fragileEngines) stop() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stopped = true
+	for _, conns := range e.conns {
+		for conn := range conns {
+			_ = conn.Close()
+		}
+	}
+}
+
+// fatalAfter returns how many fatal prompts have reached engines later than d after the
+// nth one.
+func (e *fragileEngines) fatalAfter(nth int, d time.Duration) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	count := 0
+	for i := nth; i < len(e.fatal); i++ {
+		if e.fatal[i].Sub(e.fatal[nth-1]) > d {
+			count++
+		}
+	}
+	return count
+}
+
+// startFragileEngines starts engines and announces them.
+func startFragileEngines(t *testing.T, d *deployment, count int) *fragileEngines {
+	t.Helper()
+	e := &fragileEngines{t: t, restartTime: 300 * time.Millisecond, conns: make(map[string]map[net.Conn]bool)}
+	t.Cleanup(e.stop)
+	for i := range count {
+		address := fmt.Sprintf("%s:%d", nextHostAddress(), freePort(t))
+		go e.start(address)
+		target := fleet.Target{ID: fmt.Sprint("engine-", i), Service: "s", Address: address, Zone: "z", Started: 1}
+		eventually(t, "engine", func() error { return d.cores[0].core.Announce(context.Background(), target) })
+	}
+	return e
+}
+
+// Guards against requests with one part in their prompts that crash one engine after the
+// other, and against the refusal of sound requests that share their other parts: after
+// five crashes and the time of contact, at most three more such requests may reach an
+// engine over all fronts.
+func TestPromptPartThatCrashesEnginesIsQuarantined(t *testing.T) {
+	const contactTime = 4 * time.Second
+	d := newDeployment(t, 3)
+	eventually(t, "document", func() error { return d.cores[0].core.PutDocument(context.Background(), documentWithKey(1, "k")) })
+	engines := startFragileEngines(t, d, 4)
+	var fronts []string
+	for range 3 {
+		front, _ := d.startFront()
+		fronts = append(fronts, front)
+		eventually(t, "request", func() error {
+			status, err := sendPrompt(front, "k", "common own")
+			if err == nil && status != http.StatusOK {
+				err = fmt.Errorf("status %d", status)
+			}
+			return err
+		})
+	}
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	sound, served := 0, 0
+	started := time.Now()
+	for i := 0; time.Since(started) < 10*time.Second; i++ {
+		front := fronts[i%len(fronts)]
+		parts := fmt.Sprintf("common topic-%d own-%d", i%7, i)
+		if i%4 == 0 {
+			parts = fmt.Sprintf("common %s own-%d", fatalPart, i)
+		}
+		late := time.Since(started) > 6*time.Second
+		wg.Go(func() {
+			status, err := sendPrompt(front, "k", parts)
+			if late && !strings.Contains(parts, fatalPart) {
+				mu.Lock()
+				defer mu.Unlock()
+				sound++
+				if err == nil && status == http.StatusOK {
+					served++
+				}
+			}
+		})
+		time.Sleep(25 * time.Millisecond)
+	}
+	wg.Wait()
+	if n := engines.fatalAfter(5, contactTime); n > 3 {
+		t.Errorf("%d requests with the part reached engines later than %v after the fifth crash, want 3 at most", n, contactTime)
+	}
+	if served*100 < sound*98 {
+		t.Errorf("%d of %d sound requests were served in the last seconds, want 98 in 100", served, sound)
+	}
+}
--- a/internal/edge/system_test.go
+++ b/internal/edge/system_test.go
@@ -36,10 +36,14 @@
 type headerCodec struct{}
 
 func (headerCodec) DecodeRequest(h http.Header) (proxy.Request, error) {
-	return proxy.Request{ID: h.Get("Id"), APIKey: h.Get("Key"), Timeout: 2 * time.Second}, nil
+	r := proxy.Request{ID: h.Get("Id"), APIKey: h.Get("Key"), Timeout: 2 * time.Second}
+	for _, name := range strings.Fields(h.Get("Parts")) {
+		r.Parts = append(r.Parts, proxy.PromptPart{Name: name, Tokens: 100})
+	}
+	return r, nil
 }
 func (headerCodec) EncodeAttempt(caller http.Header, a *proxy.Attempt) http.Header {
-	return http.Header{"Id": caller["Id"], "Workspace": {a.Workspace}}
+	return http.Header{"Id": caller["Id"], "Workspace": {a.Workspace}, "Parts": {caller.Get("Parts")}}
 }
 func (headerCodec) DecodeResponse(_ int, h http.Header, _ string) proxy.Response {
 	return proxy.Response{RequestID: h.Get("Id"), Signed: true}
@@ -264,7 +268,10 @@
 	return s.FrontAddress, cancel
 }
 
-func sendRequest(address, key string) (int, error) {
+func sendRequest(address, key string) (int, error) { return sendPrompt(address, key, "") }
+
+// sendPrompt sends a request whose prompt has the given parts, separated by spaces.
+func sendPrompt(address, key, parts string) (int, error) {
 	r, err := http.NewRequest("POST", "http://"+address+"/x", strings.NewReader("body"))
 	if err != nil {
 		return 0, err
@@ -272,6 +279,7 @@
 	r.Host = "a.example"
 	r.Header.Set("Id", "id")
 	r.Header.Set("Key", key)
+	r.Header.Set("Parts", parts)
 	response, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return 0, err
