Quarantine parts of prompts that crash engines

What callers saw: one request in twenty crashed the engine that began to answer it, and with it all requests that ran there; the next one went to the next engine.

Cause: nothing related the crashes to each other. An engine that failed counted as down for itself, and a front sees only its own requests. Class: a poison message that is delivered again and again.

Change: a request that breaks off before or as its answer begins, at an engine that then cannot be reached, is evidence against the shared parts of its prompt. Fronts report it at once; the leader relates the reports. A part is quarantined after four crashes at different times without a completed request in between; fronts have a second to report one. Of several suspected parts the one in most crashes is taken, ties wait for another crash, and a part that another one explains is released. The quarantine is an entry of the replicated registry and lasts an hour. Requests with the part are rejected with 503, prompt_quarantined: they have not run. A request that is being repeated ends as failed.

--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -128,6 +128,7 @@
 	changed   chan struct{}
 	allocator *ratelimit.ShareAllocator
 	fronts    *fleetsync.Fronts
+	evidence  *crashEvidence
 	// electedAt is when this replica became leader, on the boot clock; 0 if it
 	// is not the leader.
 	electedAt time.Duration
@@ -205,6 +206,7 @@
 	c.startTask(c.updateWeights)
 	c.startTask(c.recordSpending)
 	c.startTask(c.probeStores)
+	c.startTask(c.updateQuarantine)
 	servers, err := c.serve(options.Control(c))
 	if err != nil {
 		return err
@@ -285,7 +287,7 @@
 	}
 	switch {
 	case s.Role != raft.Leader:
-		c.electedAt, c.allocator, c.fronts = 0, nil, nil
+		c.electedAt, c.allocator, c.fronts, c.evidence = 0, nil, nil, nil
 	case c.electedAt == 0:
 		c.electedAt = boottime.Now()
 		electedAt := c.electedAt
@@ -333,6 +335,7 @@
 	electedAt time.Duration
 	allocator *ratelimit.ShareAllocator
 	fronts    *fleetsync.Fronts
+	evidence  *crashEvidence
 }
 
 // leadership returns the leader state, and whether this replica is the leader
@@ -340,7 +343,7 @@
 func (c *Core) leadership() (leadership, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return leadership{c.electedAt, c.allocator, c.fronts}, c.allocator != nil
+	return leadership{c.electedAt, c.allocator, c.fronts, c.evidence}, c.allocator != nil
 }
 
 // establishLeadership starts serving as leader once a read barrier shows that
@@ -378,6 +381,7 @@
 	c.mu.Lock()
 	if c.electedAt == electedAt {
 		c.fronts = fleetsync.NewFronts()
+		c.evidence = newCrashEvidence()
 		c.allocator = ratelimit.NewShareAllocator(boottime.Now(), c.settings.Guarantees.Quota.Window, spent)
 	}
 	c.mu.Unlock()
--- a/internal/edge/corefollow.go
+++ b/internal/edge/corefollow.go
@@ -62,7 +62,7 @@
 	response := &followv1.FollowResponse{
 		Served: true, Core: state.core, Leader: state.leader, FrontCount: state.frontCount, Usage: state.usage, WarmingUp: state.warmingUp,
 		LeaderAgeMs: milliseconds(received - state.leaderElected), ConfirmedAfterMs: milliseconds(report.started - received),
-		Shares: report.shares, UnreachableStores: state.unreachableStores, PeersVersion: state.fronts.Version,
+		Shares: report.shares, UnreachableStores: state.unreachableStores, Suspects: state.suspects, PeersVersion: state.fronts.Version,
 	}
 	if front := request.GetReport(); request.GetPeersVersion() != state.fronts.Version {
 		response.Peers = state.fronts.Peers(front.GetVm(), front.GetRegion())
@@ -87,8 +87,8 @@
 	for {
 		changed := c.changeSignal()
 		now := boottime.Now()
-		storesChanged := !slices.Equal(c.unreachableStores(), request.GetUnreachableStores())
-		wait := poll.Due(now, c.stateVersion(), storesChanged) - now
+		urgent := !slices.Equal(c.unreachableStores(), request.GetUnreachableStores()) || !slices.Equal(c.suspects(), request.GetSuspects())
+		wait := poll.Due(now, c.stateVersion(), urgent) - now
 		if wait <= 0 {
 			return
 		}
--- /dev/null
+++ b/internal/edge/corequarantine.go
@@ -0,0 +1,110 @@
+package edge
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cuminwing/cuminwing/internal/adapter/boottime"
+	"github.com/cuminwing/cuminwing/internal/control"
+	"github.com/cuminwing/cuminwing/internal/fleet"
+	"github.com/cuminwing/cuminwing/internal/pause"
+	"github.com/cuminwing/cuminwing/internal/quarantine"
+	followv1 "github.com/cuminwing/cuminwing/proto/follow/v1"
+)
+
+// quarantineInterval is the time between two checks of the evidence.
+const quarantineInterval = 100 * time.Millisecond
+
+// crashEvidence is what a leader knows about parts of prompts that may crash engines.
+type crashEvidence struct {
+	mu       sync.Mutex
+	tracker  *quarantine.Tracker
+	suspects []string
+	// quarantinedSince maps the quarantined parts to the time since which this
+	// leader knows them, on the boot clock.
+	quarantinedSince map[string]time.Duration
+}
+
+func newCrashEvidence() *crashEvidence {
+	return &crashEvidence{tracker: quarantine.NewTracker(), quarantinedSince: make(map[string]time.Duration)}
+}
+
+// record applies the report of a front.
+func (e *crashEvidence) record(now time.Duration, report *followv1.FrontReport) {
+	if len(report.GetCrashes()) == 0 && len(report.GetCompletions()) == 0 {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, c := range report.GetCrashes() {
+		e.tracker.RecordCrash(now, quarantine.Crash{Engine: c.GetEngine(), At: now - fromMilliseconds(c.GetAgeMs()), Parts: c.GetParts()})
+	}
+	for _, c := range report.GetCompletions() {
+		e.tracker.RecordCompletion(now, quarantine.Completion{Part: c.GetPart(), At: now - fromMilliseconds(c.GetAgeMs())})
+	}
+	e.suspects = e.tracker.Suspects()
+}
+
+// knownSuspects returns the sorted parts for which fronts have to report completions.
+func (e *crashEvidence) knownSuspects() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.suspects
+}
+
+// changes returns the parts that have to be quarantined and those whose quarantine is
+// over, given the quarantined ones.
+func (e *crashEvidence) changes(now time.Duration, quarantined []string) (add, release []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.tracker.SetQuarantined(quarantined)
+	for _, part := range quarantined {
+		since, known := e.quarantinedSince[part]
+		switch {
+		case !known:
+			e.quarantinedSince[part] = now
+		case now-since >= quarantine.Time:
+			release = append(release, part)
+		}
+	}
+	release = append(release, e.tracker.Released()...)
+	for _, part := range release {
+		e.tracker.Forget(part)
+	}
+	for part := range e.quarantinedSince {
+		if !slices.Contains(quarantined, part) {
+			delete(e.quarantinedSince, part)
+		}
+	}
+	add = e.tracker.Due(now)
+	e.suspects = e.tracker.Suspects()
+	return add, release
+}
+
+// updateQuarantine changes the quarantined parts while this replica leads.
+func (c *Core) updateQuarantine(ctx context.Context) {
+	for pause.For(ctx, quarantineInterval) {
+		leader, leading := c.leadership()
+		if !leading {
+			continue
+		}
+		add, release := leader.evidence.changes(boottime.Now(), c.registry.QuarantinedParts())
+		if len(add) == 0 && len(release) == 0 {
+			continue
+		}
+		err := c.propose(ctx, control.KindFleet, fleet.Command{Quarantine: add, Release: release}.Encode())
+		c.logger.Warn("quarantine of prompt parts changed", zap.Strings("quarantined", add), zap.Strings("released", release), zap.Error(err))
+	}
+}
+
+// suspects returns the parts that the leader suspects, as far as this member knows.
+func (c *Core) suspects() []string {
+	if leader, leading := c.leadership(); leading {
+		return leader.evidence.knownSuspects()
+	}
+	return c.relayedState().suspects
+}
--- a/internal/edge/corerelay.go
+++ b/internal/edge/corerelay.go
@@ -48,6 +48,7 @@
 	fronts            *fleetsync.FrontList
 	frontCount        uint32
 	unreachableStores []string
+	suspects          []string
 	usage             []*followv1.WorkspaceUsage
 	warmingUp         bool
 }
@@ -141,7 +142,7 @@
 	state := relayedState{
 		leader: response.GetLeader(), leaderElected: started - fromMilliseconds(response.GetLeaderAgeMs()),
 		core: response.GetCore(), fronts: previous.fronts, frontCount: response.GetFrontCount(),
-		unreachableStores: response.GetUnreachableStores(), usage: response.GetUsage(), warmingUp: response.GetWarmingUp(),
+		unreachableStores: response.GetUnreachableStores(), suspects: response.GetSuspects(), usage: response.GetUsage(), warmingUp: response.GetWarmingUp(),
 	}
 	if response.GetFrontsVersion() != state.fronts.Version {
 		state.fronts = decodeFronts(response)
@@ -149,7 +150,7 @@
 	c.mu.Lock()
 	c.relayed = state
 	c.mu.Unlock()
-	if !slices.Equal(previous.unreachableStores, state.unreachableStores) {
+	if !slices.Equal(previous.unreachableStores, state.unreachableStores) || !slices.Equal(previous.suspects, state.suspects) {
 		c.notify()
 	}
 	results := make([]*relayedReport, len(reports))
@@ -206,6 +207,7 @@
 		return nil, err
 	}
 	response.Index, response.Core, response.UnreachableStores = index, c.coreMembers(), c.storeHealth.unreachable()
+	response.Suspects = leader.evidence.knownSuspects()
 	return response, nil
 }
 
@@ -217,6 +219,7 @@
 	}
 	now := boottime.Now()
 	leader.fronts.Record(now, fleetsync.Front{VM: report.GetVm(), Address: report.GetAddress(), Region: report.GetRegion()})
+	leader.evidence.record(now, report)
 	grants := leader.allocator.Report(now, report.GetVm(), report.GetIncarnation(), decodeReports(report.GetShares()))
 	return &followv1.FrontGrants{Shares: encodeGrants(grants)}, nil
 }
--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -78,11 +78,13 @@
 	logger   *zap.Logger
 	decode   DocumentDecoder
 	placer   *placement.Placer
-	shares   *ratelimit.ShareLimiter
-	pool     *targetconn.Pool
-	counters *metrics.Set
-	handler  *proxy.Handler
-	client   *http.Client
+	// quarantine keeps requests with parts that crash engines away from them.
+	quarantine *frontQuarantine
+	shares     *ratelimit.ShareLimiter
+	pool       *targetconn.Pool
+	counters   *metrics.Set
+	handler    *proxy.Handler
+	client     *http.Client
 	// incarnation identifies this run of the process: its start in Unix
 	// milliseconds.
 	incarnation int64
@@ -127,6 +129,7 @@
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
 	defer cancel()
+	f.quarantine.ctx = taskCtx
 	tasks.Go(func() { f.followCore(taskCtx) })
 	tasks.Go(func() { f.sweepConnections(taskCtx) })
 	tasks.Go(func() { f.probeUnreachableTargets(taskCtx) })
@@ -163,12 +166,13 @@
 		registry:     fleet.NewState(),
 		synced:       make(chan struct{}),
 	}
+	f.quarantine = newFrontQuarantine(f.pool.Probe, f.logger)
 	f.counters.Gauge("connections_opened", func() any { return f.pool.OpenedConnections() })
 	f.counters.Gauge("confirmed_age_ms", func() any { return (boottime.Now() - f.state.Load().Confirmed).Milliseconds() })
 	f.state.Store(&proxy.State{Confirmed: -time.Hour})
 	f.handler = &proxy.Handler{
 		Codec: options.Codec, State: f.servingState,
-		Placer: f.placer, Quota: f.shares, Pool: f.pool, Logger: f.logger, BootClock: boottime.Now,
+		Placer: f.placer, Quarantine: f.quarantine, Quota: f.shares, Pool: f.pool, Logger: f.logger, BootClock: boottime.Now,
 		Memory:   bodyMemory(&s),
 		KeyLease: s.Guarantees.KeyRevocation - keyValidityMargin, StateExpected: f.stateExpected, Stopping: f.stopping.Load, Observe: f.recordRequest,
 		Budget: &proxy.Budget{Ratio: s.Guarantees.RetryRatio, Slack: s.Guarantees.RetrySlack, Window: s.Guarantees.RetryWindow},
--- a/internal/edge/frontsync.go
+++ b/internal/edge/frontsync.go
@@ -17,6 +17,7 @@
 	"github.com/cuminwing/cuminwing/internal/pause"
 	"github.com/cuminwing/cuminwing/internal/placement"
 	"github.com/cuminwing/cuminwing/internal/proxy"
+	"github.com/cuminwing/cuminwing/internal/quarantine"
 	"github.com/cuminwing/cuminwing/internal/ratelimit"
 	followv1 "github.com/cuminwing/cuminwing/proto/follow/v1"
 )
@@ -31,11 +32,14 @@
 	// bursts and for other clients of the target.
 	idleConnectionFraction = 0.7
 	msPerSecond            = 1000
+	// leaderAgeTolerance is how much later a leader may seem to have been elected
+	// because of the time that calls take, without being a new one.
+	leaderAgeTolerance = time.Second
 )
 
 var (
 	errNotServed = errors.New("the member of the core knows no leader")
-	errReportDue = errors.New("the shares of the workspace rates have to be reported at once")
+	errReportDue = errors.New("shares of the workspace rates or a crashed engine have to be reported at once")
 )
 
 // followCore keeps the state of the front up to date by long polls to a member of
@@ -85,13 +89,15 @@
 type pollResult struct {
 	sentAt time.Duration
 	// reports are the reports on workspaces that the call contained.
-	reports  map[string]ratelimit.ShareReport
+	reports map[string]ratelimit.ShareReport
+	// evidence is the evidence on crashed engines that the call contained.
+	evidence quarantine.Report
 	response *followv1.FollowResponse
 }
 
 // poll makes one call to a member of the core. With noWait set, the member responds
-// without waiting for a change. The call ends early with errReportDue if the shares
-// have to be reported at once.
+// without waiting for a change. The call ends early with errReportDue if something has
+// to be reported at once.
 func (f *Front) poll(ctx context.Context, address string, noWait bool) (pollResult, error) {
 	ctx, limit, stop := withTransferLimit(ctx, followTimeout)
 	defer stop()
@@ -101,12 +107,14 @@
 		go f.cancelOnReportDue(ctx, limit, cancel)
 	}
 	state := f.state.Load()
-	result := pollResult{}
+	result := pollResult{evidence: f.quarantine.Report()}
+	noWait = noWait || len(result.evidence.Crashes) > 0
 	request := &followv1.FollowRequest{
 		Report: &followv1.FrontReport{
 			Vm: f.settings.VM, Incarnation: f.incarnation, Address: f.settings.selfPeerAddress(), Region: f.settings.Region,
 		},
 		NoWait: noWait, Revision: f.registry.Revision, PeersVersion: f.peers.version(), UnreachableStores: f.unreachableStores,
+		Suspects: f.quarantine.Suspects(),
 	}
 	if state.Table != nil {
 		request.DocumentVersion = state.Table.Document.Version
@@ -114,6 +122,7 @@
 		request.Report.Shares = encodeReports(result.reports)
 	}
 	result.sentAt = boottime.Now()
+	encodeEvidence(request.Report, result.evidence, result.sentAt)
 	var err error
 	result.response, err = followv1.NewFollowServiceProtobufClient("http://"+address, f.client).Follow(ctx, request)
 	switch {
@@ -125,15 +134,17 @@
 	return result, err
 }
 
-// cancelOnReportDue cancels a held call when the shares have to be reported at once. A
+// cancelOnReportDue cancels a held call when something has to be reported at once. A
 // response that is being received is completed, as the next call follows it.
 func (f *Front) cancelOnReportDue(ctx context.Context, limit *transferLimit, cancel context.CancelCauseFunc) {
 	select {
 	case <-f.shares.ReportDue():
-		if !limit.receiving() {
-			cancel(errReportDue)
-		}
+	case <-f.quarantine.ReportDue():
 	case <-ctx.Done():
+		return
+	}
+	if !limit.receiving() {
+		cancel(errReportDue)
 	}
 }
 
@@ -154,6 +165,8 @@
 	response := poll.response
 	electedAt := poll.sentAt - fromMilliseconds(response.GetLeaderAgeMs())
 	f.weightsPending = f.weightsPending || f.leader.address != response.GetLeader()
+	newLeader := f.leader.address != response.GetLeader() || electedAt-f.leader.electedAt > leaderAgeTolerance
+	f.quarantine.Confirm(poll.evidence, newLeader, response.GetSuspects())
 	f.leader = leaderInfo{address: response.GetLeader(), electedAt: electedAt}
 	next := *f.state.Load()
 	next.FrontCount = int(response.GetFrontCount())
@@ -182,6 +195,7 @@
 		return
 	}
 	f.setUnreachableStores(response.GetUnreachableStores())
+	f.setQuarantined(registry)
 	f.registry = registry
 	next.Weights = registry.Weights
 	f.updatePlacement(table, next.FrontCount)
@@ -189,6 +203,16 @@
 	f.applyShares(next, poll)
 }
 
+// setQuarantined applies the quarantined parts of a registry.
+func (f *Front) setQuarantined(registry *fleet.State) {
+	parts := registry.QuarantinedParts()
+	if slices.Equal(parts, f.registry.QuarantinedParts()) {
+		return
+	}
+	f.logger.Info("quarantined prompt parts changed", zap.Strings("quarantined", parts))
+	f.quarantine.SetQuarantined(parts)
+}
+
 func (f *Front) setUnreachableStores(stores []string) {
 	if !slices.Equal(stores, f.unreachableStores) {
 		f.logger.Info("unreachable stores changed", zap.Strings("lost", stores))
--- a/internal/edge/quarantine_test.go
+++ b/internal/edge/quarantine_test.go
@@ -22,6 +22,7 @@
 // fatalPart. A crashed engine is back after restartTime.
 type fragileEngines struct {
 	t           *testing.T
+	core        *Core
 	restartTime time.Duration
 
 	mu sync.Mutex
@@ -31,13 +32,17 @@
 	conns   map[string]map[net.Conn]bool
 }
 
-// start starts an engine that listens on an address until the test ends.
+// start starts an incarnation of an engine, which announces itself and serves until it
+// crashes or the test ends.
 func (e *fragileEngines) start(address string) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		e.t.Error(err)
 		return
 	}
+	started := time.Now().UnixMilli()
+	target := fleet.Target{ID: "engine-" + address, Service: "s", Address: address, Zone: "z", Started: started}
+	go func() { _ = e.core.Announce(context.Background(), target) }()
 	e.mu.Lock()
 	e.conns[address] = make(map[net.Conn]bool)
 	if e.stopped {
@@ -117,16 +122,13 @@
 	return count
 }
 
-// startFragileEngines starts engines and announces them.
+// startFragileEngines starts engines.
 func startFragileEngines(t *testing.T, d *deployment, count int) *fragileEngines {
 	t.Helper()
-	e := &fragileEngines{t: t, restartTime: 300 * time.Millisecond, conns: make(map[string]map[net.Conn]bool)}
+	e := &fragileEngines{t: t, core: d.cores[0].core, restartTime: 300 * time.Millisecond, conns: make(map[string]map[net.Conn]bool)}
 	t.Cleanup(e.stop)
-	for i := range count {
-		address := fmt.Sprintf("%s:%d", nextHostAddress(), freePort(t))
-		go e.start(address)
-		target := fleet.Target{ID: fmt.Sprint("engine-", i), Service: "s", Address: address, Zone: "z", Started: 1}
-		eventually(t, "engine", func() error { return d.cores[0].core.Announce(context.Background(), target) })
+	for range count {
+		go e.start(fmt.Sprintf("%s:%d", nextHostAddress(), freePort(t)))
 	}
 	return e
 }
--- a/internal/edge/shareswire.go
+++ b/internal/edge/shareswire.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -28,9 +30,40 @@
 			}
 		}
 	}
+	return checkEvidence(report)
+}
+
+const (
+	// maxReportedCrashes and maxReportedParts limit the evidence in one report, and
+	// maxPartNameBytes the name of a part.
+	maxReportedCrashes = 256
+	maxReportedParts   = 1024
+	maxPartNameBytes   = 256
+)
+
+// checkEvidence returns an error if the evidence on crashes cannot be used.
+func checkEvidence(report *followv1.FrontReport) error {
+	if len(report.GetCrashes()) > maxReportedCrashes || len(report.GetCompletions()) > maxReportedParts {
+		return errors.New("the report has too many crashes or completions")
+	}
+	for _, c := range report.GetCrashes() {
+		if !isAge(c.GetAgeMs()) || len(c.GetParts()) > maxReportedParts || slices.ContainsFunc(c.GetParts(), isLongName) {
+			return errors.Newf("the report on the crash of %q cannot be used", c.GetEngine())
+		}
+	}
+	for _, c := range report.GetCompletions() {
+		if !isAge(c.GetAgeMs()) || isLongName(c.GetPart()) {
+			return errors.Newf("the report on a completion of age %v ms cannot be used", c.GetAgeMs())
+		}
+	}
 	return nil
 }
 
+func isLongName(part string) bool { return len(part) > maxPartNameBytes }
+
+// isAge reports whether a number of milliseconds can be the age of an event.
+func isAge(ms float64) bool { return ms >= 0 && ms <= float64(24*time.Hour/time.Millisecond) }
+
 func encodeReports(reports map[string]ratelimit.ShareReport) []*followv1.ShareReport {
 	list := make([]*followv1.ShareReport, 0, len(reports))
 	for workspace, r := range reports {
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -56,6 +56,10 @@
 	// Spent records what workspaces have spent within the window of their
 	// quota.
 	Spent map[string]ratelimit.SpendingRecord `json:"spent,omitempty"`
+	// Quarantine adds parts of prompts that requests must not contain, Release
+	// removes them.
+	Quarantine []string `json:"quarantine,omitempty"`
+	Release    []string `json:"release,omitempty"`
 }
 
 // RequiredWeights is the version of a model that engines have to run.
@@ -87,6 +91,10 @@
 // deployment the system is designed for has 130 restarts a day.
 const maxDepartures = 1024
 
+// maxQuarantined limits the quarantined parts. The oldest one is released for a new
+// one.
+const maxQuarantined = 1024
+
 // State is the content of the registry. A State that a Registry has returned is
 // never modified.
 type State struct {
@@ -98,6 +106,9 @@
 	// Spent is what workspaces had spent within the window of their quota when
 	// the leader last recorded it. A change of it does not change Revision.
 	Spent map[string]ratelimit.SpendingRecord `json:"spent,omitempty"`
+	// Quarantined maps the parts of prompts that requests must not contain to the
+	// log index at which they were added.
+	Quarantined map[string]uint64 `json:"quarantined,omitempty"`
 	// Revision is the log index of the last change of anything but Spent.
 	Revision uint64 `json:"revision"`
 	// UrgentRevision is the log index of the last change after which some target
@@ -133,7 +144,7 @@
 func NewRegistry() *Registry { return &Registry{state: emptyState()} }
 
 func emptyState() State {
-	return State{Targets: map[string]Target{}, Weights: map[string]uint64{}}
+	return State{Targets: map[string]Target{}, Weights: map[string]uint64{}, Quarantined: map[string]uint64{}}
 }
 
 // Current returns the current state. The caller must not modify it.
@@ -190,6 +201,7 @@
 	defer r.mu.Unlock()
 	d := r.state.DeltaSince(revision)
 	d.Weights = maps.Clone(d.Weights)
+	d.Quarantined = maps.Clone(d.Quarantined)
 	return d
 }
 
@@ -201,6 +213,7 @@
 	for k, v := range s.Weights {
 		c.Weights[k] = v
 	}
+	maps.Copy(c.Quarantined, s.Quarantined)
 	c.Departed = append([]Departure(nil), s.Departed...)
 	c.Spent = s.Spent
 	c.Revision = s.Revision
@@ -264,6 +277,8 @@
 		return s.deregister(index, c.Leave)
 	case c.Weights != nil:
 		return s.setWeights(index, *c.Weights)
+	case len(c.Quarantine) > 0 || len(c.Release) > 0:
+		return s.changeQuarantine(index, c.Quarantine, c.Release)
 	}
 	if c.Spent != nil {
 		s.Spent = c.Spent
@@ -390,52 +405,6 @@
 	return true
 }
 
-// Delta holds the changes of the registry since an earlier revision.
-type Delta struct {
-	// Full is set if Targets holds all targets, not only the changed ones.
-	Full     bool              `json:"whole,omitempty"`
-	Targets  []Target          `json:"targets,omitempty"`
-	Removed  []string          `json:"gone,omitempty"`
-	Weights  map[string]uint64 `json:"weights,omitempty"`
-	Revision uint64            `json:"revision"`
-}
-
-// DeltaSince returns the changes after a revision. It returns the full registry
-// if the departures since that revision are no longer all kept.
-func (s *State) DeltaSince(revision uint64) Delta {
-	d := Delta{Weights: s.Weights, Revision: s.Revision}
-	truncated := len(s.Departed) == maxDepartures && s.Departed[0].Revision > revision
-	d.Full = revision == 0 || truncated
-	for _, t := range s.Targets {
-		if d.Full || t.Revision > revision {
-			d.Targets = append(d.Targets, t)
-		}
-	}
-	for i := range s.Departed {
-		if !d.Full && s.Departed[i].Revision > revision {
-			d.Removed = append(d.Removed, s.Departed[i].ID)
-		}
-	}
-	return d
-}
-
-// Merge returns a copy of the registry with a delta applied.
-func (s *State) Merge(d Delta) *State {
-	c := s.clone()
-	if d.Full {
-		c.Targets = make(map[string]Target)
-	}
-	for _, id := range d.Removed {
-		delete(c.Targets, id)
-	}
-	for _, t := range d.Targets {
-		c.Targets[t.ID] = t
-	}
-	c.Weights = d.Weights
-	c.Revision = d.Revision
-	return c
-}
-
 // NewState returns an empty registry.
 func NewState() *State {
 	s := emptyState()
--- a/internal/fleetsync/poll.go
+++ b/internal/fleetsync/poll.go
@@ -40,11 +40,11 @@
 }
 
 // Due returns when the poll has to be answered, given the present state of the
-// member. storesChanged is set if the front knows other unreachable stores than
-// the member.
-func (t *PollTimer) Due(now time.Duration, current Version, storesChanged bool) time.Duration {
+// member. urgent is set if the front lacks another change that must not wait: it knows
+// other unreachable stores or suspected parts of prompts than the member.
+func (t *PollTimer) Due(now time.Duration, current Version, urgent bool) time.Duration {
 	switch {
-	case current.Document > t.have.Document || current.Urgent > t.have.Revision || storesChanged:
+	case current.Document > t.have.Document || current.Urgent > t.have.Revision || urgent:
 		t.due = min(t.due, now+urgentDelay)
 	case current.Revision > t.have.Revision:
 		t.due = min(t.due, now+ordinaryDelay)
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -21,9 +21,11 @@
 	Codec  Codec
 	State  func() State
 	Placer Placer
-	Quota  Quota
-	Budget *Budget
-	Pool   *targetconn.Pool
+	// Quarantine is nil if no requests are kept away from engines.
+	Quarantine Quarantine
+	Quota      Quota
+	Budget     *Budget
+	Pool       *targetconn.Pool
 	// Memory limits the memory for bodies of requests and responses.
 	Memory *MemoryBudget
 	Logger *zap.Logger
@@ -98,11 +100,15 @@
 	// failedResponse is the error response of a target, returned to the caller
 	// if no later attempt succeeds.
 	failedResponse *bufferedResponse
+	// succeeded is set if the caller got a complete response with a 2xx status.
+	succeeded      bool
 	targetID       string
 	reason         string
 	firstByteAfter time.Duration
-	// choice is the choice made for the latest attempt.
-	choice *placement.Choice
+	// choice is the choice made for the latest attempt, and firstEventAt when its first
+	// event arrived.
+	choice       *placement.Choice
+	firstEventAt time.Time
 }
 
 // ServeHTTP implements http.Handler.
@@ -168,6 +174,9 @@
 		return refused
 	}
 	c.service = c.route.Pick(rand.Float64())
+	if c.quarantined() {
+		return &errQuarantined
+	}
 	c.Budget.RecordRequest(c.service, c.started)
 	c.buildPlacementRequest()
 	return c.chargeQuota()
@@ -326,6 +335,9 @@
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
 	for {
+		if c.quarantined() {
+			return c.endQuarantined()
+		}
 		choice, total := c.Placer.Choose(c.placementRequest)
 		if choice == nil {
 			c.addReason(fmt.Sprintf("no usable target among the %d of service %s", total, c.service))
@@ -338,9 +350,10 @@
 		}
 		c.attempts++
 		c.targetID = choice.Target.ID
-		c.choice = choice
+		c.choice, c.firstEventAt = choice, time.Time{}
 		result := c.send(ctx, choice)
 		c.Placer.Done(choice, result.placement())
+		c.recordEvidence(result)
 		if done, refused := c.afterAttempt(result); done {
 			return refused
 		}
--- a/internal/proxy/log.go
+++ b/internal/proxy/log.go
@@ -58,16 +58,6 @@
 	return fields
 }
 
-// sharedParts returns the names of the parts of the prompt that other requests may
-// share: all but the last one.
-func (c *call) sharedParts() []string {
-	var names []string
-	for i := 0; i < len(c.request.Parts)-1; i++ {
-		names = append(names, c.request.Parts[i].Name)
-	}
-	return names
-}
-
 // placementFields returns the log fields of placement: the last target that was
 // chosen, and what placement assumed about it.
 func (c *call) placementFields() []zap.Field {
--- a/internal/proxy/ports.go
+++ b/internal/proxy/ports.go
@@ -112,6 +112,17 @@
 	Refund(workspace string, tokens float64)
 }
 
+// Quarantine keeps requests away from engines if a part of their prompts crashes them.
+// The last part of a prompt, which belongs to one request only, is not considered.
+type Quarantine interface {
+	// Blocked returns the first of the parts that must not reach an engine.
+	Blocked(parts []string) (part string, blocked bool)
+	// RecordBroken records that a request with the parts broke off at a target.
+	RecordBroken(t placement.Target, parts []string)
+	// RecordCompletion records that a request with the parts has completed.
+	RecordCompletion(parts []string)
+}
+
 // Placer chooses targets and is told the outcome of each attempt.
 type Placer interface {
 	Choose(req placement.Request) (*placement.Choice, int)
--- a/internal/proxy/refusal.go
+++ b/internal/proxy/refusal.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/cuminwing/cuminwing/internal/quarantine"
 )
 
 // refusal is an error response that this VM generates itself.
@@ -49,6 +51,7 @@
 	errNoTarget         = refusal{http.StatusServiceUnavailable, "no_target", targetRetryAfter}
 	errTargetsFull      = refusal{http.StatusServiceUnavailable, "targets_full", targetRetryAfter}
 	errNoMemory         = refusal{http.StatusServiceUnavailable, "no_memory", targetRetryAfter}
+	errQuarantined      = refusal{http.StatusServiceUnavailable, "prompt_quarantined", quarantine.Time}
 	errNoRoute          = refusal{http.StatusNotFound, "no_route", 0}
 	errUnknownKey       = refusal{http.StatusUnauthorized, "unknown_key", 0}
 	errMalformedHeaders = refusal{http.StatusBadRequest, "malformed_headers", 0}
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -104,5 +104,6 @@
 		return resultFailed
 	}
 	buffered.write(s.call)
+	s.succeeded = resp.StatusCode < http.StatusMultipleChoices
 	return resultDelivered
 }
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -314,6 +314,7 @@
 		}
 		if e.isProgress() {
 			stall.recordProgress()
+			s.recordEvent()
 		}
 		if e.id >= 0 && e.id <= s.lastEventID {
 			continue
@@ -335,6 +336,13 @@
 	}
 }
 
+// recordEvent records when the first event of the attempt arrived.
+func (s *exchange) recordEvent() {
+	if s.firstEventAt.IsZero() {
+		s.firstEventAt = time.Now()
+	}
+}
+
 func (s *exchange) beginStream(resp *http.Response) {
 	s.Codec.CopyResponseHeaders(s.w.Header(), resp.Header)
 	s.w.WriteHeader(resp.StatusCode)
@@ -355,5 +363,6 @@
 	// A write error means that the caller has disconnected.
 	_, _ = s.w.Write(rest.data)
 	s.reusableAfter = resp
+	s.succeeded = true
 	return resultDelivered
 }
