Treat a stream that ends inside an event as broken off

What callers could see: a stream cut in the middle of an event that looked complete.

Cause: a response without a length ends with its connection, and the bytes after the last complete event were passed on as the end of the stream.

Change: such a stream has broken off: it continues at another engine if it can be resumed, and is aborted otherwise.

Result: TestStreamThatEndsInsideAnEventHasBrokenOff (before: both cases returned the partial event without an error) passes; a stream that ends between events is complete as before.

--- a/internal/proxy/response_test.go
+++ b/internal/proxy/response_test.go
@@ -256,3 +256,29 @@
 		})
 	}
 }
+
+// Guards against a stream that ends with its connection inside an event and looks
+// complete to the caller, although it has broken off.
+func TestStreamThatEndsInsideAnEventHasBrokenOff(t *testing.T) {
+	broken := pacedStream(time.Millisecond, "", eventText(1), "id: 2\nda")
+	t.Run("resumable", func(t *testing.T) {
+		second := newTarget(t, streamResponse(true, eventText(2)))
+		f := newFront(t, gatewayconfig.Route{Kind: gatewayconfig.RunStream, Resumable: true, MaxAttempts: 2}, newTarget(t, broken), second)
+		_, body, err := f.call(t, "r1", "POST", "b")
+		if want := eventText(1) + eventText(2); err != nil || body != want {
+			t.Errorf("got stream %q, error %v; want %q", body, err, want)
+		}
+	})
+	t.Run("not resumable", func(t *testing.T) {
+		f := newFront(t, gatewayconfig.Route{Kind: gatewayconfig.RunStream, MaxAttempts: 1}, newTarget(t, broken))
+		if _, body, err := f.call(t, "r1", "POST", "b"); err == nil {
+			t.Errorf("stream %q looks complete", body)
+		}
+	})
+	t.Run("ends between events", func(t *testing.T) {
+		f := newFront(t, gatewayconfig.Route{Kind: gatewayconfig.RunStream, MaxAttempts: 1}, newTarget(t, pacedStream(time.Millisecond, "", eventText(1), eventText(2))))
+		if _, body, err := f.call(t, "r1", "POST", "b"); err != nil || body != eventText(1)+eventText(2) {
+			t.Errorf("got stream %q, error %v; want two events", body, err)
+		}
+	})
+}
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -357,6 +357,12 @@
 		s.reason = "stream broke off: " + err.Error()
 		return resultBroken
 	}
+	if rest.isProgress() {
+		// A response without a length may end with its connection, but not inside
+		// an event.
+		s.reason = "stream ended inside an event"
+		return resultBroken
+	}
 	if !s.headersSent {
 		s.beginStream(resp)
 	}
