Test what the proxy does with quarantined parts

Change: a request with a quarantined part reaches no target and is rejected as not run; one whose part is quarantined while it runs is not repeated; only attempts that broke off before or as the answer began are evidence.

--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -29,7 +29,11 @@
 
 func (testCodec) DecodeRequest(h http.Header) (Request, error) {
 	ms, _ := strconv.Atoi(h.Get("Limit"))
-	return Request{ID: h.Get("Id"), APIKey: h.Get("Key"), Timeout: time.Duration(ms) * time.Millisecond}, nil
+	r := Request{ID: h.Get("Id"), APIKey: h.Get("Key"), Timeout: time.Duration(ms) * time.Millisecond}
+	for _, name := range strings.Fields(h.Get("Parts")) {
+		r.Parts = append(r.Parts, PromptPart{Name: name, Tokens: 10})
+	}
+	return r, nil
 }
 
 func (testCodec) EncodeAttempt(caller http.Header, a *Attempt) http.Header {
@@ -141,6 +145,8 @@
 	state   State
 	// stateSoon is the result of Handler.StateExpected.
 	stateSoon bool
+	// parts are the parts of the prompt that requests state.
+	parts string
 }
 
 func (f *front) setState(s State) {
@@ -204,6 +210,7 @@
 	r.Header.Set("Id", id)
 	r.Header.Set("Key", "key")
 	r.Header.Set("Limit", strconv.FormatInt(limit.Milliseconds(), 10))
+	r.Header.Set("Parts", f.parts)
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return nil, "", err
--- /dev/null
+++ b/internal/proxy/quarantine_test.go
@@ -0,0 +1,107 @@
+package proxy
+
+import (
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cuminwing/cuminwing/internal/gatewayconfig"
+	"github.com/cuminwing/cuminwing/internal/placement"
+)
+
+// fakeQuarantine blocks the part "fatal" once a number of requests have broken off, and
+// records what it is told.
+type fakeQuarantine struct {
+	blockAfter int
+
+	mu                sync.Mutex
+	broken, completed []string
+}
+
+func (q *fakeQuarantine) Blocked(parts []string) (string, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return "fatal", len(q.broken) >= q.blockAfter && slices.Contains(parts, "fatal")
+}
+
+func (q *fakeQuarantine) RecordBroken(t placement.Target, parts []string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.broken = append(q.broken, t.ID+" "+strings.Join(parts, " "))
+}
+
+func (q *fakeQuarantine) RecordCompletion(parts []string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.completed = append(q.completed, strings.Join(parts, " "))
+}
+
+// Guards against a request with a quarantined part that reaches a target, one that is
+// repeated after its part was quarantined, a rejection that says "not run" of a request
+// that may have run, and a quarantine because of the part that belongs to one request only.
+func TestQuarantinedPartDoesNotReachTargets(t *testing.T) {
+	hangUp := func(net.Conn, *http.Request) bool { return false }
+	tests := []struct {
+		name       string
+		parts      string
+		blockAfter int
+		wantStatus int
+		wantSent   int
+	}{
+		{"quarantined", "common fatal own", 0, http.StatusServiceUnavailable, 0},
+		{"quarantined while it ran", "common fatal own", 1, http.StatusBadGateway, 1},
+		{"not quarantined", "common other own", 0, http.StatusOK, 2},
+		{"the part of the request itself", "common fatal", 0, http.StatusOK, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			first, second := newTarget(t, hangUp), newTarget(t, respondOK("fine"))
+			f := newFront(t, gatewayconfig.Route{Kind: gatewayconfig.RunIdempotent, MaxAttempts: 3}, first, second)
+			f.handler.Quarantine, f.parts = &fakeQuarantine{blockAfter: tt.blockAfter}, tt.parts
+			resp, body, err := f.call(t, "r1", "POST", "b")
+			if err != nil || resp.StatusCode != tt.wantStatus {
+				t.Fatalf("got %v %q, error %v; want status %d", resp, body, err, tt.wantStatus)
+			}
+			if resp.StatusCode == http.StatusServiceUnavailable && !strings.Contains(body, "prompt_quarantined") {
+				t.Errorf("rejected with %q", body)
+			}
+			if sent := len(first.requests()) + len(second.requests()); sent != tt.wantSent {
+				t.Errorf("%d targets got the request, want %d", sent, tt.wantSent)
+			}
+		})
+	}
+}
+
+// Guards against evidence that is missing or wrong: an answer that has gone on for a
+// while did not crash its engine when it began.
+func TestEvidenceOfAttempts(t *testing.T) {
+	tests := []struct {
+		name                      string
+		answer                    script
+		wantBroken, wantCompleted []string
+	}{
+		{"breaks off before the answer", func(net.Conn, *http.Request) bool { return false }, []string{"t0 a b"}, nil},
+		{"breaks off as the answer begins", pacedStream(time.Millisecond, "", eventText(1), "id: 2\nda"), []string{"t0 a b"}, nil},
+		{"breaks off later", pacedStream(answerStartTime, "", eventText(1), eventText(2), "id: 3\nda"), nil, nil},
+		{"completes", streamResponse(true, eventText(1)), nil, []string{"a b"}},
+		{"is refused", respond("503 Full", "Signed: yes\r\nNot-Run: yes\r\n", ""), nil, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFront(t, gatewayconfig.Route{Kind: gatewayconfig.RunStream}, newTarget(t, tt.answer))
+			q := &fakeQuarantine{blockAfter: 1}
+			f.handler.Quarantine, f.parts = q, "a b own"
+			// The status is not of interest here.
+			_, _, _ = f.call(t, "r1", "POST", "b")
+			q.mu.Lock()
+			defer q.mu.Unlock()
+			if !slices.Equal(q.broken, tt.wantBroken) || !slices.Equal(q.completed, tt.wantCompleted) {
+				t.Errorf("broken %q, completed %q; want %q, %q", q.broken, q.completed, tt.wantBroken, tt.wantCompleted)
+			}
+		})
+	}
+}
