Reject late requests that a stopping front cannot finish

What callers saw: an answer that broke off seven seconds after the stop of its front.

Cause: since a stopping front accepts connections for up to half of its grace period while they still arrive. A request of such a connection may last longer than what is left: at the end of the grace period its connection is closed.

--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -110,7 +110,7 @@
 	syncedOnce sync.Once
 	// sharesReceived is set once the front has its shares of the workspace rates.
 	sharesReceived atomic.Bool
-	stopping       atomic.Bool
+	stop           stopClock
 }
 
 // FrontOptions are the dependencies of a front process.
@@ -161,6 +161,7 @@
 		pool:         targetconn.New(),
 		counters:     metrics.New(s.VM),
 		client:       peerClient(),
+		stop:         stopClock{gracePeriod: s.Guarantees.GracePeriod},
 		incarnation:  time.Now().UnixMilli(),
 		startedAt:    boottime.Now(),
 		registry:     fleet.NewState(),
@@ -174,7 +175,7 @@
 		Codec: options.Codec, State: f.servingState,
 		Placer: f.placer, Quarantine: f.quarantine, Quota: f.shares, Pool: f.pool, Logger: f.logger, BootClock: boottime.Now,
 		Memory:   bodyMemory(&s),
-		KeyLease: s.Guarantees.KeyRevocation - keyValidityMargin, StateExpected: f.stateExpected, Stopping: f.stopping.Load, Observe: f.recordRequest,
+		KeyLease: s.Guarantees.KeyRevocation - keyValidityMargin, StateExpected: f.stateExpected, Stopping: f.stop.stopping, RejectsLate: f.rejectsLate, Observe: f.recordRequest,
 		Budget: &proxy.Budget{Ratio: s.Guarantees.RetryRatio, Slack: s.Guarantees.RetrySlack, Window: s.Guarantees.RetryWindow},
 	}
 	return f
@@ -189,6 +190,10 @@
 	return proxy.NewMemoryBudget(int64(bodyMemoryFraction * float64(s.MemoryBytes)))
 }
 
+// rejectsLate reports whether a request with the given deadline comes too late to be
+// finished before this process ends.
+func (f *Front) rejectsLate(deadline time.Time) bool { return f.stop.rejects(time.Now(), deadline) }
+
 // kindLabels are the names of the run kinds in metrics.
 var kindLabels = map[gatewayconfig.RunKind]string{
 	gatewayconfig.RunOnce: "once", gatewayconfig.RunIdempotent: "idempotent", gatewayconfig.RunStream: "stream",
@@ -231,7 +236,7 @@
 
 func (f *Front) ready() bool {
 	state := f.servingState()
-	return !f.stopping.Load() && state.Table != nil && boottime.Now()-state.Confirmed < maxReadyStateAge
+	return !f.stop.stopping() && state.Table != nil && boottime.Now()-state.Confirmed < maxReadyStateAge
 }
 
 // serve accepts caller connections until ctx is done. It then fails the
@@ -247,13 +252,13 @@
 	go serveUntilClosed(f.logger, server, watch)
 	<-ctx.Done()
 	stopStarted := time.Now()
-	f.stopping.Store(true)
+	f.stop.begin(stopStarted)
 	f.logger.Info("front stops", zap.String("reason", "signal"))
 	time.Sleep(drainDelay)
 	acceptCtx, stopAccepting := context.WithDeadline(context.Background(), stopStarted.Add(f.settings.Guarantees.GracePeriod/2))
 	watch.awaitQuiet(acceptCtx)
 	stopAccepting()
-	drainCtx, cancel := context.WithDeadline(context.Background(), stopStarted.Add(f.settings.Guarantees.GracePeriod-graceMargin))
+	drainCtx, cancel := context.WithDeadline(context.Background(), f.stop.requestsEnd())
 	defer cancel()
 	if err := server.Shutdown(drainCtx); err != nil {
 		f.logger.Warn("grace period ended with requests in flight; closing their connections", zap.Error(err))
--- /dev/null
+++ b/internal/edge/stopclock.go
@@ -0,0 +1,30 @@
+package edge
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// stopClock tells a front that shuts down which requests it can no longer finish.
+type stopClock struct {
+	// gracePeriod is the time from the signal to the end of the process.
+	gracePeriod time.Duration
+	// started is when the signal arrived, as a time.Time; nil before that.
+	started atomic.Pointer[time.Time]
+}
+
+// begin records that the signal has arrived.
+func (s *stopClock) begin(now time.Time) { s.started.Store(&now) }
+
+// stopping reports whether the signal has arrived.
+func (s *stopClock) stopping() bool { return s.started.Load() != nil }
+
+// requestsEnd returns when the requests in flight are closed.
+func (s *stopClock) requestsEnd() time.Time { return s.started.Load().Add(s.gracePeriod - graceMargin) }
+
+// rejects reports whether a request must go to another front, because it may last beyond
+// the end of this one. Until drainDelay after the signal all requests are served, as the
+// load balancer still sends callers here.
+func (s *stopClock) rejects(now, deadline time.Time) bool {
+	return s.stopping() && now.Sub(*s.started.Load()) >= drainDelay && deadline.After(s.requestsEnd())
+}
--- a/internal/edge/system_test.go
+++ b/internal/edge/system_test.go
@@ -37,6 +37,9 @@
 
 func (headerCodec) DecodeRequest(h http.Header) (proxy.Request, error) {
 	r := proxy.Request{ID: h.Get("Id"), APIKey: h.Get("Key"), Timeout: 2 * time.Second}
+	if limit, err := time.ParseDuration(h.Get("Limit")); err == nil {
+		r.Timeout = limit
+	}
 	for _, name := range strings.Fields(h.Get("Parts")) {
 		r.Parts = append(r.Parts, proxy.PromptPart{Name: name, Tokens: 100})
 	}
@@ -272,14 +275,22 @@
 
 // sendPrompt sends a request whose prompt has the given parts, separated by spaces.
 func sendPrompt(address, key, parts string) (int, error) {
+	return sendHeaders(address, http.Header{"Key": {key}, "Parts": {parts}})
+}
+
+// sendRequestFor sends a request whose caller waits for a given time.
+func sendRequestFor(address, key string, limit time.Duration) (int, error) {
+	return sendHeaders(address, http.Header{"Key": {key}, "Limit": {limit.String()}})
+}
+
+func sendHeaders(address string, headers http.Header) (int, error) {
 	r, err := http.NewRequest("POST", "http://"+address+"/x", strings.NewReader("body"))
 	if err != nil {
 		return 0, err
 	}
 	r.Host = "a.example"
+	r.Header = headers
 	r.Header.Set("Id", "id")
-	r.Header.Set("Key", key)
-	r.Header.Set("Parts", parts)
 	response, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return 0, err
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -40,6 +40,9 @@
 	// Stopping reports whether this VM is shutting down, so that callers must
 	// move to other VMs.
 	Stopping func() bool
+	// RejectsLate reports whether a request with the given deadline must move to
+	// another VM, because this one shuts down before it. It may be nil.
+	RejectsLate func(deadline time.Time) bool
 	// Observe records the outcome and duration of a request.
 	Observe func(kind gatewayconfig.RunKind, code string, took time.Duration)
 }
@@ -174,6 +177,9 @@
 		return refused
 	}
 	c.service = c.route.Pick(rand.Float64())
+	if c.RejectsLate != nil && c.RejectsLate(c.deadline) {
+		return &errStopping
+	}
 	if c.quarantined() {
 		return &errQuarantined
 	}
--- a/internal/proxy/refusal.go
+++ b/internal/proxy/refusal.go
@@ -38,6 +38,9 @@
 	// targetRetryAfter is the Retry-After value while targets are overloaded or
 	// none is known.
 	targetRetryAfter = 500 * time.Millisecond
+	// stoppingRetryAfter is the Retry-After value of a VM that shuts down: another VM
+	// serves the request at once.
+	stoppingRetryAfter = 10 * time.Millisecond
 	// electionRetryAfter is the Retry-After value while the core cannot be
 	// reached: the duration of an election, and the time until the front has
 	// found the new leader.
@@ -51,6 +54,7 @@
 	errNoTarget         = refusal{http.StatusServiceUnavailable, "no_target", targetRetryAfter}
 	errTargetsFull      = refusal{http.StatusServiceUnavailable, "targets_full", targetRetryAfter}
 	errNoMemory         = refusal{http.StatusServiceUnavailable, "no_memory", targetRetryAfter}
+	errStopping         = refusal{http.StatusServiceUnavailable, "stopping", stoppingRetryAfter}
 	errQuarantined      = refusal{http.StatusServiceUnavailable, "prompt_quarantined", quarantine.Time}
 	errNoRoute          = refusal{http.StatusNotFound, "no_route", 0}
 	errUnknownKey       = refusal{http.StatusUnauthorized, "unknown_key", 0}
