Keep unusable names of parts out of the reports of fronts

What callers could see: a front that loses the core for a minute, because its reports cannot be encoded or are rejected.

Cause: the names of parts come from callers.

Result: TestReportsHaveUsableNamesAndAges (before: both crashes with all names and the old completion were reported) passes.

--- a/internal/edge/shareswire.go
+++ b/internal/edge/shareswire.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cuminwing/cuminwing/internal/quarantine"
 	"github.com/cuminwing/cuminwing/internal/ratelimit"
 	followv1 "github.com/cuminwing/cuminwing/proto/follow/v1"
 )
@@ -34,11 +35,9 @@
 }
 
 const (
-	// maxReportedCrashes and maxReportedParts limit the evidence in one report, and
-	// maxPartNameBytes the name of a part.
+	// maxReportedCrashes and maxReportedParts limit the evidence in one report.
 	maxReportedCrashes = 256
 	maxReportedParts   = 1024
-	maxPartNameBytes   = 256
 )
 
 // checkEvidence returns an error if the evidence on crashes cannot be used.
@@ -59,7 +58,7 @@
 	return nil
 }
 
-func isLongName(part string) bool { return len(part) > maxPartNameBytes }
+func isLongName(part string) bool { return len(part) > quarantine.MaxNameBytes }
 
 // isAge reports whether a number of milliseconds can be the age of an event.
 func isAge(ms float64) bool { return ms >= 0 && ms <= float64(24*time.Hour/time.Millisecond) }
--- a/internal/quarantine/observer.go
+++ b/internal/quarantine/observer.go
@@ -4,6 +4,7 @@
 	"slices"
 	"sync"
 	"time"
+	"unicode/utf8"
 )
 
 const (
@@ -96,6 +97,7 @@
 
 // RecordCrash records the crash of an engine.
 func (o *Observer) RecordCrash(c Crash) {
+	c.Parts = slices.DeleteFunc(slices.Clone(c.Parts), isUnusable)
 	if len(c.Parts) == 0 {
 		return
 	}
@@ -113,6 +115,11 @@
 	}
 }
 
+// isUnusable reports whether a name, which callers choose, cannot be part of a report.
+func isUnusable(part string) bool {
+	return part == "" || len(part) > MaxNameBytes || !utf8.ValidString(part)
+}
+
 // ReportDue returns a channel that signals that a crash has to be reported at once.
 func (o *Observer) ReportDue() <-chan struct{} { return o.due }
 
@@ -134,7 +141,7 @@
 	unreported := min(o.recorded-o.reported, len(o.crashes))
 	r := Report{Crashes: slices.Clone(o.crashes[len(o.crashes)-unreported:]), recorded: o.recorded}
 	for _, part := range o.suspects {
-		if at, ok := o.completed[part]; ok {
+		if at, ok := o.completed[part]; ok && now-at <= evidenceLifetime {
 			r.Completions = append(r.Completions, Completion{part, at})
 		}
 	}
--- a/internal/quarantine/observer_test.go
+++ b/internal/quarantine/observer_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -91,3 +92,22 @@
 		t.Errorf("part %q is blocked after its release", part)
 	}
 }
+
+// Guards against a report that cannot be encoded or is rejected as a whole because of the
+// name of one part, which callers choose, or because of an old completion.
+func TestReportsHaveUsableNamesAndAges(t *testing.T) {
+	o, now := newTestObserver()
+	o.RecordCompletion([]string{"old"})
+	*now += 48 * time.Hour
+	unusable := []string{"\xff", strings.Repeat("x", MaxNameBytes+1), ""}
+	o.RecordCrash(Crash{Engine: "a", At: *now, Parts: append([]string{"p"}, unusable...)})
+	o.RecordCrash(Crash{Engine: "b", At: *now, Parts: unusable})
+	o.Confirm(Report{}, false, []string{"old"})
+	r := o.Report()
+	if len(r.Crashes) != 1 || !slices.Equal(r.Crashes[0].Parts, []string{"p"}) {
+		t.Errorf("reported crashes %q, want the usable name only", r.Crashes)
+	}
+	if len(r.Completions) != 0 {
+		t.Errorf("reported completions %v, want none", r.Completions)
+	}
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -13,6 +13,9 @@
 // Time is how long a part stays quarantined.
 const Time = time.Hour
 
+// MaxNameBytes limits the names of parts that are tracked.
+const MaxNameBytes = 256
+
 const (
 	// minCrashes is the number of crashes, without a completed request in between,
 	// after which a part is quarantined.
