Propose a change of the quarantine again if it was not committed

Cause: a part counts as found once, so a proposal that failed, for example while a follower was slow, was lost until the next crash. Found while reading the change; without a test of its own.

Change: the leader keeps the change until it is committed.

--- a/internal/edge/corequarantine.go
+++ b/internal/edge/corequarantine.go
@@ -85,19 +85,28 @@
 	return add, release
 }
 
-// updateQuarantine changes the quarantined parts while this replica leads.
+// updateQuarantine changes the quarantined parts while this replica leads. A change that
+// was not committed is proposed again.
 func (c *Core) updateQuarantine(ctx context.Context) {
+	var change fleet.Command
 	for pause.For(ctx, quarantineInterval) {
 		leader, leading := c.leadership()
 		if !leading {
+			change = fleet.Command{}
 			continue
 		}
 		add, release := leader.evidence.changes(boottime.Now(), c.registry.QuarantinedParts())
-		if len(add) == 0 && len(release) == 0 {
+		change.Quarantine = append(change.Quarantine, add...)
+		change.Release = append(change.Release, release...)
+		if len(change.Quarantine) == 0 && len(change.Release) == 0 {
 			continue
 		}
-		err := c.propose(ctx, control.KindFleet, fleet.Command{Quarantine: add, Release: release}.Encode())
-		c.logger.Warn("quarantine of prompt parts changed", zap.Strings("quarantined", add), zap.Strings("released", release), zap.Error(err))
+		err := c.propose(ctx, control.KindFleet, change.Encode())
+		c.logger.Warn("quarantine of prompt parts changed", zap.Strings("quarantined", change.Quarantine),
+			zap.Strings("released", change.Release), zap.Error(err))
+		if err == nil {
+			change = fleet.Command{}
+		}
 	}
 }
 
