--- /dev/null
+++ b/review/rig/cases.go
@@ -0,0 +1,329 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"syscall"
+	"time"
+)
+
+var cases = map[string]func(*rig){
+	"replace": replaceThenLose,
+	"writer":  otherWriter,
+	"quota":   lateRefusal,
+	"isolate": isolateTenant,
+}
+
+const (
+	keyA = "ka8fexd9dnn2ctnfzs98"
+	keyB = "kb9anu6wsjnbanfqasnm"
+)
+
+// plenty is a rate that no tenant of a case reaches.
+const plenty = 5_000_000
+
+// plainEngines starts three instances of the plain service.
+func (r *rig) plainEngines() []*engine {
+	var list []*engine
+	for i, zone := range zoneNames {
+		e := r.newEngine(fmt.Sprintf("i-lager%d", i+1), "lagerbuch", zone, false)
+		e.slots, e.queue = 6, 24
+		e.start()
+		list = append(list, e)
+	}
+	return list
+}
+
+// modelEngines starts engines of the model.
+func (r *rig) modelEngines(count int) []*engine {
+	var list []*engine
+	for i := range count {
+		e := r.newEngine(fmt.Sprintf("i-gut%d", i+1), "gutachter", zoneNames[i%len(zoneNames)], true)
+		e.start()
+		list = append(list, e)
+	}
+	return list
+}
+
+// replaceThenLose replaces a machine of the core as planned. After that another machine
+// of the core loses its disk, right after it has acknowledged a configuration.
+func replaceThenLose(r *rig) {
+	cores, fronts := r.startSystem(2)
+	r.putDocument(document(1, []object{tenant("a", keyA, plenty, false)}))
+	r.plainEngines()
+	look := attempt{path: "/look/x", key: keyA}
+	r.awaitServed(fronts, look)
+	traffic := r.startTraffic(fronts, 100*time.Millisecond, func(int) attempt { return look })
+	time.Sleep(contactTime)
+
+	r.logf("planned work: the new machine of the core starts first")
+	successor := r.newCore("core-"+cores[2].zone+"-new", cores[2].zone)
+	successor.start(false, r.seeds)
+	current := []*node{cores[0], cores[1], cores[2], successor}
+	r.setControl(current)
+	time.Sleep(catchUpTime + time.Second)
+	r.logf("the successor has had %v; SIGTERM to %s, which leaves for good", catchUpTime+time.Second, cores[2].name)
+	cores[2].signal(syscall.SIGTERM)
+	if !cores[2].awaitExit(gracePeriod) {
+		cores[2].signal(syscall.SIGKILL)
+		cores[2].awaitExit(time.Second)
+	}
+	r.logf("%s has exited and is removed", cores[2].name)
+	current = []*node{cores[0], cores[1], successor}
+	r.setControl(current)
+	pause := time.Second
+	if text := os.Getenv("PAUSE"); text != "" {
+		pause, _ = time.ParseDuration(text)
+	}
+	time.Sleep(pause)
+
+	lost := cores[0]
+	changed := encode(document(2, []object{tenant("a", keyA, plenty, false)}))
+	acknowledged := false
+	for until := time.Now().Add(5 * time.Second); !acknowledged && time.Now().Before(until); {
+		status, _ := call(http.MethodPut, lost.controlAddress(), "/config", changed, time.Second)
+		acknowledged = status == http.StatusOK
+	}
+	if !acknowledged {
+		panic("version 2 was not acknowledged before the disruption")
+	}
+	r.logf("operator: configuration 2 acknowledged by %s", lost.name)
+	if r.trouble {
+		lost.signal(syscall.SIGKILL)
+		lost.awaitExit(2 * time.Second)
+		if err := os.RemoveAll(lost.dataDir); err != nil {
+			panic(err)
+		}
+		r.logf("%s goes down and loses its disk", lost.name)
+		time.Sleep(2 * time.Second)
+		var seeds []string
+		for _, n := range current {
+			seeds = append(seeds, n.controlAddress())
+		}
+		lost.start(false, seeds)
+	}
+	back := time.Now()
+	time.Sleep(recoveryTime)
+	r.logf("recovery_s has passed since all machines are back; the operator reads the configuration")
+	reads, clear := 0, 0
+	for until := time.Now().Add(2 * contactTime); time.Now().Before(until); time.Sleep(250 * time.Millisecond) {
+		for _, n := range current {
+			status, data := call(http.MethodGet, n.controlAddress(), "/config", nil, 2*time.Second)
+			reads++
+			if status == http.StatusOK && strings.Contains(string(data), `"version":2`) {
+				clear++
+			}
+			if reads <= 9 {
+				r.logf("operator: GET /config at %s: status %d %.80q", n.name, status, data)
+			}
+		}
+	}
+	status, data := call(http.MethodPut, successor.controlAddress(), "/config", encode(document(3, []object{tenant("a", keyA, plenty, false)})), 2*time.Second)
+	r.logf("operator: configuration 3 sent to %s: status %d %.80q", successor.name, status, data)
+	served, all := 0, 0
+	for _, a := range traffic.end() {
+		if a.sent.After(back.Add(recoveryTime)) {
+			all++
+			if a.status == http.StatusOK {
+				served++
+			}
+		}
+	}
+	r.logf("from recovery_s on: %d of %d reads returned version 2; %d of %d requests were served", clear, reads, served, all)
+	if clear == 0 {
+		r.broken("CONFIG: the configuration that was acknowledged cannot be read back at any node")
+	}
+	if served*4 < all {
+		r.broken("RECOVER: less than a quarter of the requests is served")
+	}
+}
+
+// otherWriter sends entries without some of the fields, which name an engine of the model
+// as an instance of the plain service.
+func otherWriter(r *rig) {
+	_, fronts := r.startSystem(2)
+	r.putDocument(document(1, []object{tenant("a", keyA, plenty, false)}))
+	plain := r.plainEngines()
+	models := r.modelEngines(3)
+	reserve := attempt{path: "/reserve/x", key: keyA, deadline: 3 * time.Second}
+	r.awaitServed(fronts, reserve)
+	time.Sleep(contactTime)
+	traffic := r.startTraffic(fronts, 50*time.Millisecond, func(i int) attempt {
+		return attempt{path: fmt.Sprintf("/%s/%d", []string{"reserve", "look"}[i%2], i), key: keyA}
+	})
+	for range 8 {
+		if r.trouble {
+			e := models[0]
+			e.mu.Lock()
+			entry := encode(object{"service": "lagerbuch", "address": e.address, "zone": e.zone, "state": "ready", "born": e.born})
+			e.mu.Unlock()
+			address := r.controls()[0]
+			status, data := call(http.MethodPut, address, "/instances/"+e.id, entry, time.Second)
+			r.logf("another writer: PUT /instances/%s at %s with %s: status %d %.80q", e.id, address, entry, status, data)
+		}
+		time.Sleep(heartbeatTime)
+	}
+	traffic.end()
+	wrong := 0
+	for _, run := range allRuns(append(plain, models...)) {
+		foreign := run.service != "lagerbuch"
+		if foreign {
+			wrong++
+		}
+		if foreign && wrong <= 20 {
+			r.logf("request %s %s runs at %s of %s at %.3f s", run.id, run.path, run.engine, run.service, run.at.Sub(r.started).Seconds())
+		}
+	}
+	r.logf("%d requests of the routes to lagerbuch ran at engines of gutachter", wrong)
+	if wrong > 0 {
+		r.broken("ROUTE: %d requests were run by a service to which no configuration ever sent allows them to go", wrong)
+	}
+}
+
+// Token counts of a dossier, and the limit of tenant b in a window of the quota.
+const (
+	dossierTokens = 9190 + 13
+	smallRate     = 18000
+	quotaWindow   = 8 * time.Second
+	quotaLimit    = (smallRate*8+smallRate)*1.1 + 72000
+)
+
+// lateRefusal names new weights while requests of a tenant wait for a slot at the engines.
+// The engines turn them away, and the tenant sends as much again, and more.
+func lateRefusal(r *rig) {
+	_, fronts := r.startSystem(2)
+	r.putDocument(document(1, []object{tenant("a", keyA, plenty, false), tenant("b", keyB, smallRate, false)}))
+	engines := r.modelEngines(2)
+	for _, e := range engines {
+		e.work = func(q *http.Request) time.Duration {
+			if strings.HasPrefix(q.URL.Path, "/reply/long") {
+				return 9 * time.Second
+			}
+			return 300 * time.Millisecond
+		}
+	}
+	reply := func(name string) attempt {
+		return attempt{path: "/reply/" + name, key: keyA, usage: "826,90", prefix: "aa01:119,bb01:79,cc" + name[len(name)-1:] + "0:628", deadline: 15 * time.Second}
+	}
+	r.awaitServed(fronts, reply("warm1"))
+	time.Sleep(2 * contactTime)
+	all := make(chan attempt, 1000)
+	sent := 0
+	send := func(front *node, a attempt) {
+		sent++
+		go func() { all <- r.send(front, a) }()
+	}
+	dossier := func(i int) attempt {
+		return attempt{path: fmt.Sprintf("/reply/dossier%d", i), key: keyB, usage: fmt.Sprintf("%d,13", dossierTokens-13), prefix: fmt.Sprintf("d1:2520,d2:3780,%x:2890", 0xe000+i), deadline: 15 * time.Second}
+	}
+	r.logf("tenant a fills the slots of both engines with streams of 9 s")
+	for i := range 230 {
+		send(fronts[i%2], reply(fmt.Sprintf("long%d", i)))
+		time.Sleep(2 * time.Millisecond)
+	}
+	start := time.Now()
+	r.logf("tenant b sends 40 requests, which wait for a slot as far as its quota allows")
+	for i := range 40 {
+		send(fronts[i%2], dossier(i))
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(time.Until(start.Add(6200 * time.Millisecond)))
+	if r.trouble {
+		if !r.callAny("version 2 of m0", http.MethodPost, "/version-put", encode(object{"model": "m0", "version": 2}), 5*time.Second) {
+			panic("the version was not acknowledged")
+		}
+	}
+	time.Sleep(time.Until(start.Add(10200 * time.Millisecond)))
+	r.logf("tenant b sends 120 more requests within 3 s")
+	for i := range 120 {
+		send(fronts[i%2], dossier(100+i))
+		time.Sleep(25 * time.Millisecond)
+	}
+	statuses := make(map[string]int)
+	sentAt := make(map[string]time.Time)
+	for range sent {
+		a := <-all
+		sentAt[a.id] = a.sent
+		r.logAttempt(a)
+		if a.key == keyB {
+			statuses[fmt.Sprint(a.status)]++
+		}
+	}
+	r.logf("answers to tenant b by status: %v", statuses)
+	runs := allRuns(engines)
+	worst, worstAt, count := 0, time.Time{}, 0
+	for _, first := range runs {
+		from := first.at
+		if s, ok := sentAt[first.id]; ok {
+			from = s
+		}
+		sum, n := 0, 0
+		for _, run := range runs {
+			s, ok := sentAt[run.id]
+			if ok && run.tenant == "b" && !s.Before(from) && run.at.Before(from.Add(quotaWindow)) {
+				sum += run.tokens
+				n++
+			}
+		}
+		if sum > worst {
+			worst, worstAt, count = sum, from, n
+		}
+	}
+	r.logf("tenant b: most tokens that were sent and ran within 8 s: %d in %d requests, from %.3f s on; the rule allows %.0f", worst, count, worstAt.Sub(r.started).Seconds(), quotaLimit)
+	if float64(worst) > quotaLimit {
+		r.broken("QUOTA: %d tokens of tenant b ran within 8 s, %.0f are allowed", worst, quotaLimit)
+	}
+}
+
+// isolateTenant makes a tenant isolated by a change of the configuration.
+func isolateTenant(r *rig) {
+	_, fronts := r.startSystem(2)
+	tenants := func(isolated bool) []object {
+		return []object{tenant("a", keyA, plenty, isolated), tenant("b", keyB, plenty, false)}
+	}
+	// Without the disruption the tenant is isolated from the start.
+	r.putDocument(document(1, tenants(!r.trouble)))
+	engines := r.modelEngines(3)
+	warm := attempt{path: "/grade/warm", key: keyB, usage: "826,13", prefix: "77aa:119,77bb:79,77cc:628", deadline: 5 * time.Second}
+	r.awaitServed(fronts, warm)
+	time.Sleep(contactTime)
+	dossier := func(key string, i int) attempt {
+		return attempt{path: fmt.Sprintf("/grade/%d", i), key: key, usage: fmt.Sprintf("%d,13", dossierTokens-13), prefix: fmt.Sprintf("5c1e07a2:2520,91bd3f06:3780,%x:2890", 0xe000+i), deadline: 5 * time.Second}
+	}
+	for i := range 6 {
+		r.logAttempt(r.send(fronts[i%2], dossier(keyA, i)))
+	}
+	isolatedAt := r.started
+	if r.trouble {
+		r.putDocument(document(2, tenants(true)))
+		isolatedAt = time.Now()
+		r.logf("tenant a is isolated now")
+	}
+	time.Sleep(configApply + time.Second)
+	for i := range 12 {
+		r.logAttempt(r.send(fronts[i%2], dossier(keyB, 100+i)))
+	}
+	// An engine keeps the parts of a prompt under the salt, and uses those that it finds.
+	type place struct{ engine, salt, part string }
+	maker := make(map[place]run)
+	foreign := 0
+	for _, run := range allRuns(engines) {
+		for _, part := range run.parts[:len(run.parts)-1] {
+			p := place{run.engine, run.salt, part}
+			made, ok := maker[p]
+			if !ok {
+				maker[p] = run
+				continue
+			}
+			if made.tenant != run.tenant && run.at.After(isolatedAt.Add(configApply)) {
+				foreign++
+				r.logf("request %s of tenant %s uses part %s at %s under salt %q, made by request %s of tenant %s", run.id, run.tenant, part, run.engine, run.salt, made.id, made.tenant)
+			}
+		}
+	}
+	if foreign > 0 {
+		r.broken("WALL: %d times a request used KV cache that a request of another tenant made, and one of the two is isolated", foreign)
+	}
+}
