--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,4 @@
 # deploy/system.toml, then review/build.sh.
 cd "$(dirname "$0")" || exit 2
 [ -x ../../target/review-rig ] || { echo "run review/build.sh first" >&2; exit 2; }
-exec ../../target/review-rig writer .
+exec ../../target/review-rig twice .
--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -48,8 +48,12 @@
 	waiting  []chan bool
 	runs     []run
 	refused  int
-	server   *http.Server
-	beats    context.CancelFunc
+	answers  int
+	copies   int
+	// faulty engines write some of their refusals a second time.
+	faulty bool
+	server *http.Server
+	beats  context.CancelFunc
 }
 
 func (r *rig) newEngine(id, service, zone string, llm bool) *engine {
@@ -204,9 +208,20 @@
 		return
 	}
 	e.mu.Lock()
+	e.answers++
 	if want := r.Header.Get("Expect-Version"); want != "" && want != strconv.Itoa(e.version) {
-		w.Header().Set("Weight-Versions", strconv.Itoa(e.version))
+		version := strconv.Itoa(e.version)
+		again := e.faulty && (e.copies+1)*answersPerCopy <= e.answers
+		if again {
+			e.copies++
+		}
 		e.mu.Unlock()
+		w.Header().Set("Weight-Versions", version)
+		w.Header().Set("Instance-Id", e.id)
+		if again {
+			e.refuseTwice(w, r, version)
+			return
+		}
 		e.reject(w, http.StatusMisdirectedRequest)
 		return
 	}
@@ -346,3 +361,71 @@
 	sort.Slice(list, func(i, j int) bool { return list[i].at.Before(list[j].at) })
 	return list
 }
+
+// answersPerCopy is the number of answers of a faulty engine for each that it writes twice:
+// a share of 0.03.
+const answersPerCopy = 34
+
+// refuseTwice turns a request away because of its weights, and writes the same answer once
+// more where the answer to the next request on the connection is expected. The engine then
+// serves the connection on.
+func (e *engine) refuseTwice(w http.ResponseWriter, r *http.Request, version string) {
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	e.rig.onClose(func() { conn.Close() })
+	id := r.Header.Get("Request-Id")
+	answer := fmt.Sprintf("HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nInstance-Id: %s\r\nWeight-Versions: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", id, e.id, version)
+	fmt.Fprint(conn, answer)
+	e.rig.logf("engine %s answers request %s with 421: it runs version %s, not %s", e.id, id, version, r.Header.Get("Expect-Version"))
+	go func() {
+		defer conn.Close()
+		for first := true; ; first = false {
+			next, err := http.ReadRequest(buffered.Reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, next.Body)
+			if first {
+				e.rig.logf("engine %s writes the answer to request %s once more, as request %s arrives on the connection", e.id, id, next.Header.Get("Request-Id"))
+				fmt.Fprint(conn, answer)
+			}
+			if !e.runOn(conn, next) {
+				return
+			}
+		}
+	}()
+}
+
+// runOn serves a request on a connection that the HTTP server has given up.
+func (e *engine) runOn(conn net.Conn, r *http.Request) bool {
+	id := r.Header.Get("Request-Id")
+	e.mu.Lock()
+	e.answers++
+	version := strconv.Itoa(e.version)
+	if want := r.Header.Get("Expect-Version"); want != "" && want != version || r.Header.Get("Expect-Instance") != e.id {
+		e.mu.Unlock()
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nWeight-Versions: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", id, version)
+		return err == nil
+	}
+	e.running++
+	e.begin(r)
+	e.mu.Unlock()
+	defer e.release()
+	e.rig.logf("engine %s runs request %s", e.id, id)
+	head := "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: %s\r\nWeight-Versions: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	if _, err := fmt.Fprintf(conn, head, id, e.id+"."+id, version); err != nil {
+		return false
+	}
+	const pause = 100 * time.Millisecond
+	for i := range max(int(e.work(r)/pause), 1) {
+		time.Sleep(pause)
+		event := fmt.Sprintf("id: %d\ndata: event %d of %s\n\n", i+1, i+1, id)
+		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
+			return false
+		}
+	}
+	_, err := fmt.Fprint(conn, "0\r\n\r\n")
+	return err == nil
+}
