--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -123,6 +123,9 @@
 	logFailed     chan struct{}
 	logFailedOnce sync.Once
 
+	// changingMembers is held during a membership change that this member makes as leader.
+	changingMembers sync.Mutex
+
 	// notifyPending is set while a wake-up is due.
 	notifyPending atomic.Bool
 
--- a/internal/edge/coremembers.go
+++ b/internal/edge/coremembers.go
@@ -19,14 +19,12 @@
 
 const (
 	joinPath = "/join"
-	// joinInterval is the time between two join requests.
-	joinInterval = 500 * time.Millisecond
 	// repairInterval is the time between two checks of the membership.
-	repairInterval = 300 * time.Millisecond
-	// joinTimeout limits one join request.
-	joinTimeout = time.Second
-	// maxJoinCandidates limits the number of addresses that are tried in turn.
-	maxJoinCandidates = 16
+	repairInterval = 100 * time.Millisecond
+	// nextChangeDelay is the time from a committed membership change to the next
+	// check. The second step of a replacement must not wait, because there is one
+	// voter less until then.
+	nextChangeDelay = 5 * time.Millisecond
 	// maxReplicaIDBytes limits the ID of a replica that joins.
 	maxReplicaIDBytes = 256
 )
@@ -72,91 +70,53 @@
 	})
 }
 
-// addLearner adds a replica as a learner. If another replica is registered at its
-// address, that one has lost its disk and is removed first.
+// addLearner adds a replica as a learner. A learner that is registered at its address
+// has lost its disk and is removed first. If another change of the membership is in
+// progress, it does nothing, and the replica asks again.
 func (c *Core) addLearner(ctx context.Context, request joinRequest) {
-	change, ok := raft.NextJoinChange(c.replica.Status().Members, request.ID, request.Address)
-	if !ok {
+	if !c.changingMembers.TryLock() {
 		return
 	}
-	c.changeMembers(ctx, change)
+	defer c.changingMembers.Unlock()
+	for {
+		change, ok := raft.NextJoinChange(c.replica.Status().Members, request.ID, request.Address)
+		if !ok || !c.changeMembers(ctx, change) {
+			return
+		}
+	}
 }
 
-func (c *Core) changeMembers(ctx context.Context, change raft.Change) {
+// changeMembers commits a membership change. It reports whether it is committed. The
+// caller holds changingMembers.
+func (c *Core) changeMembers(ctx context.Context, change raft.Change) bool {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	err := c.replica.ChangeMembers(ctx, change)
 	c.logger.Info("control log membership change proposed", zap.String("change", change.Kind.String()),
 		zap.String("replica", change.ID), zap.String("address", change.Address), zap.Error(err))
+	return err == nil
 }
 
 // repairMembers promotes learners and removes unreachable voters.
 func (c *Core) repairMembers(ctx context.Context) {
 	repairer := raft.NewRepairer()
-	for pause.For(ctx, repairInterval) {
-		status := c.replica.Status()
-		if change, ok := repairer.Next(boottime.Now(), &status.Status); ok {
-			c.changeMembers(ctx, change)
+	delay := repairInterval
+	for pause.For(ctx, delay) {
+		delay = repairInterval
+		if c.repairOnce(ctx, repairer) {
+			delay = nextChangeDelay
 		}
 	}
 }
 
-// join requests membership of the control log whenever this replica is not a
-// member or knows no leader.
-func (c *Core) join(ctx context.Context) {
-	candidates := c.settings.seedPeerAddresses()
-	for attempt := 0; pause.For(ctx, joinInterval); attempt++ {
-		status := c.replica.Status()
-		if status.Failure != nil || status.Leader != "" && c.isMember() {
-			continue
-		}
-		if c.isMember() && !status.Bootstrapping && attempt%4 != 0 {
-			// A voter that knows no leader is usually waiting for an election
-			// to finish, so it asks only on every fourth attempt.
-			continue
-		}
-		if attempt > 0 && attempt%len(candidates) == 0 {
-			candidates = dedupe(append(append(c.settings.reloadSeedPeerAddresses(c.logger), candidates...), c.coreAddresses()...))
-			candidates = candidates[:min(len(candidates), maxJoinCandidates)]
-		}
-		peer := candidates[attempt%len(candidates)]
-		response, err := c.requestJoin(ctx, peer, status.ID)
-		if err != nil {
-			c.logger.Info("join request failed", zap.String("asked", peer), zap.Error(err))
-			continue
-		}
-		candidates = dedupe(append(response.Core, candidates...))
-		candidates = candidates[:min(len(candidates), maxJoinCandidates)]
-		if response.Leader != "" && response.Leader != peer {
-			candidates = dedupe(append([]string{response.Leader}, candidates...))
-			// The next attempt has number 0 and asks the leader.
-			attempt = -1
-		}
-	}
-}
-
-// dedupe removes repeated strings in place and keeps the order.
-func dedupe(list []string) []string {
-	seen := make(map[string]bool)
-	kept := list[:0]
-	for _, s := range list {
-		if !seen[s] {
-			seen[s] = true
-			kept = append(kept, s)
-		}
-	}
-	return kept
-}
-
-func (c *Core) requestJoin(ctx context.Context, peer, id string) (joinResponse, error) {
-	var response joinResponse
-	if peer == c.settings.selfPeerAddress() {
-		return response, nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
-	defer cancel()
-	err := postJSON(ctx, c.client, "http://"+peer+joinPath, joinRequest{ID: id, Address: c.settings.selfPeerAddress()}, &response)
-	return response, err
+// repairOnce makes the next change that the membership needs. It reports whether one
+// was committed.
+func (c *Core) repairOnce(ctx context.Context, repairer *raft.Repairer) bool {
+	c.changingMembers.Lock()
+	defer c.changingMembers.Unlock()
+	status := c.replica.Status()
+	change, ok := repairer.Next(boottime.Now(), &status.Status)
+	return ok && c.changeMembers(ctx, change)
 }
 
 // postJSON sends a request to another VM and decodes its response.
--- a/internal/raft/repair.go
+++ b/internal/raft/repair.go
@@ -19,14 +19,16 @@
 }
 
 // NextJoinChange returns the next membership change needed to add a replica, or
-// false if it is already a member. Another member at the same address has lost
-// its disk and can never respond again, so it is removed first.
+// false if it is already a member. A learner at the same address has lost its disk
+// and is removed first. A voter at the same address has lost its disk too, but it is
+// kept until the Repairer can replace it: its removal would leave fewer voters for as
+// long as the new replica takes to catch up.
 func NextJoinChange(members Membership, id, address string) (Change, bool) {
 	if _, ok := members.Find(id); ok {
 		return Change{}, false
 	}
 	for _, m := range members {
-		if m.Address == address {
+		if m.Address == address && !m.Voter {
 			return Change{Kind: Remove, ID: m.ID}, true
 		}
 	}
@@ -68,9 +70,14 @@
 }
 
 // desiredVoters returns the desired number of voters. It is odd, because one more
-// voter would not tolerate more failures.
+// voter would not tolerate more failures. A replica and the one that it replaces at
+// the same address count once.
 func desiredVoters(m Membership) int {
-	if len(m) >= largeVoterCount {
+	addresses := make(map[string]struct{}, len(m))
+	for _, member := range m {
+		addresses[member.Address] = struct{}{}
+	}
+	if len(addresses) >= largeVoterCount {
 		return largeVoterCount
 	}
 	return smallVoterCount
@@ -98,7 +105,14 @@
 	return "", false
 }
 
+// lostVoter returns a voter that will not respond again, or that has been unresponsive
+// for lostReplicaTimeout.
 func (r *Repairer) lostVoter(now time.Duration, s *Status) (string, bool) {
+	for _, m := range s.Members {
+		if m.Voter && superseded(s, &m) {
+			return m.ID, true
+		}
+	}
 	for _, m := range s.Members {
 		since, ok := r.unresponsiveSince[m.ID]
 		if m.Voter && ok && now-since >= lostReplicaTimeout {
@@ -108,6 +122,17 @@
 	return "", false
 }
 
+// superseded reports whether a learner responds at the address of a voter. The process
+// at that address has lost its disk, and with it the identity of the voter.
+func superseded(s *Status, voter *Member) bool {
+	for _, m := range s.Members {
+		if m.Address == voter.Address && m.ID != voter.ID && !m.Voter && s.Active[m.ID] {
+			return true
+		}
+	}
+	return false
+}
+
 // removeLostLearner returns the removal of a learner that has been unresponsive
 // for twice lostReplicaTimeout. It would otherwise count as a replica forever. A
 // removed learner joins again if it returns.
