Hand the vote of a member that stops to a learner

Cause: a learner that had caught up got a vote only after the leader had missed the voter that left for 3 s. Until then one of three voters that counted was gone for good.

A voter that does not respond is replaced by a learner that has caught up after 1 s instead of 3 s: where the leader is the one that goes, the election came on top of them.

--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -49,9 +49,6 @@
 	// entries.
 	announceGather   = 3 * time.Millisecond
 	announceInterval = 20 * time.Millisecond
-	// shutdownTimeout limits the leadership transfer and the graceful shutdown
-	// of the servers, together.
-	shutdownTimeout = 1500 * time.Millisecond
 )
 
 // EngineAPI queries and changes the weights that engines run.
@@ -418,7 +415,7 @@
 	logService := raftv1.NewLogServiceServer(server)
 	mux.Handle(logService.PathPrefix(), logService)
 	c.registerFollow(mux)
-	c.registerJoin(mux)
+	c.registerMembers(mux)
 	registerMetrics(mux)
 	var servers []*http.Server
 	for address, handler := range map[string]http.Handler{c.settings.selfPeerAddress(): mux, c.settings.ControlAddress: control} {
@@ -434,26 +431,6 @@
 	return servers, nil
 }
 
-// shutdown transfers the leadership before it stops the servers, so that fronts
-// and operators do not have to wait for an election.
-func (c *Core) shutdown(servers []*http.Server) {
-	c.logger.Info("core stops", zap.String("reason", "signal"))
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	if c.replica.Status().Role == raft.Leader {
-		if err := c.replica.Transfer(ctx); err != nil {
-			c.logger.Warn("leadership transfer failed", zap.Error(err))
-		}
-	}
-	c.notify()
-	for _, s := range servers {
-		if err := s.Shutdown(ctx); err != nil {
-			_ = s.Close()
-		}
-	}
-	c.client.CloseIdleConnections()
-}
-
 // isMember reports whether this replica is a member of the control log and has
 // not failed, so that its state follows the log.
 func (c *Core) isMember() bool {
--- a/internal/edge/coremembers.go
+++ b/internal/edge/coremembers.go
@@ -18,7 +18,8 @@
 )
 
 const (
-	joinPath = "/join"
+	joinPath  = "/join"
+	leavePath = "/leave"
 	// repairInterval is the time between two checks of the membership.
 	repairInterval = 100 * time.Millisecond
 	// nextChangeDelay is the time from a committed membership change to the next
@@ -53,7 +54,26 @@
 	Core   []string `json:"core,omitempty"`
 }
 
-func (c *Core) registerJoin(mux *http.ServeMux) {
+// leaveRequest asks the leader to give the vote of a replica that stops to a learner.
+type leaveRequest struct {
+	ID string `json:"id"`
+}
+
+// leaveResponse is the leader's response to a leaveRequest. The vote may be lost at a
+// stop of the replica if Left is false.
+type leaveResponse struct {
+	// Left is set if the replica has no vote any more.
+	Left bool `json:"left"`
+}
+
+func (c *Core) registerMembers(mux *http.ServeMux) {
+	mux.HandleFunc("POST "+leavePath, func(w http.ResponseWriter, r *http.Request) {
+		var request leaveRequest
+		if !readJSON(w, r, &request) {
+			return
+		}
+		writeJSON(w, leaveResponse{Left: c.replaceLeaver(r.Context(), request.ID)})
+	})
 	mux.HandleFunc("POST "+joinPath, func(w http.ResponseWriter, r *http.Request) {
 		var request joinRequest
 		if !readJSON(w, r, &request) {
@@ -86,6 +106,23 @@
 	}
 }
 
+// replaceLeaver gives the vote of a replica that is about to stop to a learner. It
+// reports whether the replica has no vote any more.
+func (c *Core) replaceLeaver(ctx context.Context, id string) bool {
+	c.changingMembers.Lock()
+	defer c.changingMembers.Unlock()
+	for {
+		status := c.replica.Status()
+		change, ok := raft.NextLeaveChange(&status.Status, id)
+		if !ok {
+			return status.Role == raft.Leader && !status.Members.IsVoter(id)
+		}
+		if !c.changeMembers(ctx, change) {
+			return false
+		}
+	}
+}
+
 // changeMembers commits a membership change. It reports whether it is committed. The
 // caller holds changingMembers.
 func (c *Core) changeMembers(ctx context.Context, change raft.Change) bool {
--- a/internal/raft/repair.go
+++ b/internal/raft/repair.go
@@ -8,9 +8,12 @@
 	// replicas.
 	smallVoterCount = 3
 	largeVoterCount = 5
-	// lostReplicaTimeout is how long a voter must be unresponsive before a learner
-	// replaces it. It is longer than a restart takes.
-	lostReplicaTimeout = 3 * time.Second
+	// lostReplicaTimeout is how long a voter must be unresponsive before a learner that
+	// has caught up replaces it. A voter that was only restarting becomes a learner.
+	lostReplicaTimeout = time.Second
+	// lostLearnerTimeout is how long a learner must be unresponsive before it is
+	// removed. It is longer than a restart takes.
+	lostLearnerTimeout = 6 * time.Second
 )
 
 // String returns the name of the kind of change.
@@ -35,6 +38,25 @@
 	return Change{Kind: AddLearner, ID: id, Address: address}, true
 }
 
+// NextLeaveChange returns the next membership change with which a learner takes over
+// the vote of a voter that is about to stop, or false if there is none to make. The
+// learner is promoted first, so that at no time there are fewer voters. Without a
+// learner that has caught up the voter is kept, because it may only restart.
+func NextLeaveChange(s *Status, id string) (Change, bool) {
+	if s.Role != Leader || id == s.ID || !s.Members.IsVoter(id) {
+		return Change{}, false
+	}
+	if s.Members.VoterCount() > desiredVoters(s.Members) {
+		return Change{Kind: Remove, ID: id}, true
+	}
+	if _, ok := supersededVoter(s); ok {
+		// The learner replaces the voter at its own address first.
+		return Change{}, false
+	}
+	learner, ok := caughtUpLearner(s)
+	return Change{Kind: Promote, ID: learner}, ok
+}
+
 // Repairer decides which membership changes a leader makes to replace lost
 // voters and to reach the desired number of voters. It is not safe for
 // concurrent use.
@@ -57,13 +79,14 @@
 		return Change{}, false
 	}
 	r.trackResponses(now, s)
-	learner, learnerReady := r.caughtUpLearner(s)
+	learner, learnerReady := caughtUpLearner(s)
 	lost, voterLost := r.lostVoter(now, s)
 	voters := s.Members.VoterCount()
+	desired := desiredVoters(s.Members)
 	switch {
-	case learnerReady && voterLost && voters >= desiredVoters(s.Members):
+	case voterLost && (voters > desired || voters == desired && learnerReady):
 		return Change{Kind: Remove, ID: lost}, true
-	case learnerReady && voters < desiredVoters(s.Members):
+	case learnerReady && voters < desired:
 		return Change{Kind: Promote, ID: learner}, true
 	}
 	return r.removeLostLearner(now, s)
@@ -96,7 +119,7 @@
 }
 
 // caughtUpLearner returns a responding learner that stores every committed entry.
-func (r *Repairer) caughtUpLearner(s *Status) (string, bool) {
+func caughtUpLearner(s *Status) (string, bool) {
 	for _, m := range s.Members {
 		if !m.Voter && s.Active[m.ID] && s.Match[m.ID] >= s.Commit {
 			return m.ID, true
@@ -108,14 +131,22 @@
 // lostVoter returns a voter that will not respond again, or that has been unresponsive
 // for lostReplicaTimeout.
 func (r *Repairer) lostVoter(now time.Duration, s *Status) (string, bool) {
+	if id, ok := supersededVoter(s); ok {
+		return id, true
+	}
 	for _, m := range s.Members {
-		if m.Voter && superseded(s, &m) {
+		since, ok := r.unresponsiveSince[m.ID]
+		if m.Voter && ok && now-since >= lostReplicaTimeout {
 			return m.ID, true
 		}
 	}
+	return "", false
+}
+
+// supersededVoter returns a voter whose process runs as another replica now.
+func supersededVoter(s *Status) (string, bool) {
 	for _, m := range s.Members {
-		since, ok := r.unresponsiveSince[m.ID]
-		if m.Voter && ok && now-since >= lostReplicaTimeout {
+		if m.Voter && superseded(s, &m) {
 			return m.ID, true
 		}
 	}
@@ -134,12 +165,12 @@
 }
 
 // removeLostLearner returns the removal of a learner that has been unresponsive
-// for twice lostReplicaTimeout. It would otherwise count as a replica forever. A
+// for lostLearnerTimeout. It would otherwise count as a replica forever. A
 // removed learner joins again if it returns.
 func (r *Repairer) removeLostLearner(now time.Duration, s *Status) (Change, bool) {
 	for _, m := range s.Members {
 		since, ok := r.unresponsiveSince[m.ID]
-		if !m.Voter && ok && now-since >= 2*lostReplicaTimeout {
+		if !m.Voter && ok && now-since >= lostLearnerTimeout {
 			return Change{Kind: Remove, ID: m.ID}, true
 		}
 	}
--- a/internal/raft/repair_test.go
+++ b/internal/raft/repair_test.go
@@ -164,3 +164,44 @@
 		t.Error("NextJoinChange returned a change for a replica that is already a member")
 	}
 }
+
+// Guards against a voter that stops for good and still counts in the majority although
+// a learner has caught up: the loss of the next disk then left no majority.
+func TestLearnerTakesTheVoteOfAVoterThatStops(t *testing.T) {
+	s := leaderStatus(members(3, "d"), "b", "c", "d")
+	for _, want := range []Change{{Kind: Promote, ID: "d"}, {Kind: Remove, ID: "c"}} {
+		change, ok := NextLeaveChange(s, "c")
+		if !ok || change != want {
+			t.Fatalf("proposed %v of %q, want %v of %q", change.Kind, change.ID, want.Kind, want.ID)
+		}
+		s.Members, _ = s.Members.apply(change)
+	}
+	if change, ok := NextLeaveChange(s, "c"); ok || s.Members.VoterCount() != 3 {
+		t.Errorf("%d voters, proposed %v of %s, want 3 voters and no change", s.Members.VoterCount(), change.Kind, change.ID)
+	}
+}
+
+// Guards against a voter that is removed at a restart although no learner can replace
+// it, and against a learner that replaces a voter which stops instead of the one at its
+// own address that has lost its disk.
+func TestVoterThatStopsIsKeptWithoutASuccessor(t *testing.T) {
+	lagging := leaderStatus(members(3, "d"), "b", "c", "d")
+	lagging.Match["d"] = lagging.Commit - 1
+	replacing := leaderStatus(append(members(3), Member{ID: "b/new", Address: "b:1"}), "c", "b/new")
+	for name, s := range map[string]*Status{
+		"no learner": leaderStatus(members(3), "b", "c"), "learner lags": lagging, "learner replaces another voter": replacing,
+	} {
+		if change, ok := NextLeaveChange(s, "c"); ok {
+			t.Errorf("%s: proposed %v of %s", name, change.Kind, change.ID)
+		}
+	}
+}
+
+// Guards against a fourth voter that stays after a handover of a vote was interrupted,
+// so that two of four voters are no majority.
+func TestLostVoterBeyondTheDesiredNumberIsRemoved(t *testing.T) {
+	change, _ := runUntilChange(NewRepairer(), leaderStatus(members(4), "b", "c"), time.Minute)
+	if change != (Change{Kind: Remove, ID: "d"}) {
+		t.Errorf("proposed %v of %s, want the removal of d", change.Kind, change.ID)
+	}
+}
