Send no request twice on the same connection to a target

Cause: responses are told apart by the ID of the request, which all attempts share. A refusal that an engine wrote once more on a kept connection was taken for the answer to the next attempt of the same request on it.

Change: a connection remembers the requests whose response on it was a refusal or a failure, and the pool gives it to other requests only. These have other IDs, so that a late copy is skipped.

TestRepeatedRefusalIsNoAnswerToTheNextAttempt failed before in its three cases.

--- a/internal/adapter/targetconn/pool.go
+++ b/internal/adapter/targetconn/pool.go
@@ -8,6 +8,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -37,6 +38,8 @@
 	// maxIdlePerTarget limits the idle connections to one target. SetIdleLimits
 	// can only lower this limit.
 	maxIdlePerTarget = 24
+	// maxUnfinished limits the requests that a connection remembers.
+	maxUnfinished = 32
 	// readBufferBytes is large enough for a response header or several stream
 	// events.
 	readBufferBytes = 8 << 10
@@ -66,25 +69,39 @@
 	Reused  bool
 	limiter *headLimiter
 	address string
+	// unfinished holds the IDs of the latest requests that the target refused or failed
+	// on this connection.
+	unfinished []string
 	// expires is when the idle connection must no longer be used, because the
 	// target may close it.
 	expires     time.Time
 	idleTimeout time.Duration
 }
 
-// Get returns a connection that has been idle for less than maxIdleTime, or
-// opens a new one.
-func (p *Pool) Get(ctx context.Context, address string, maxIdleTime time.Duration) (*Conn, error) {
-	if c := p.takeIdle(address, maxIdleTime); c != nil {
+// RecordUnfinished records that the target has responded to a request on this
+// connection, and that the request may be sent again. The target may repeat its
+// response at any later time, and nothing distinguishes the copy from the response to
+// the second attempt, so the connection must not carry the request again.
+func (c *Conn) RecordUnfinished(requestID string) {
+	if len(c.unfinished) == maxUnfinished {
+		c.unfinished = c.unfinished[1:]
+	}
+	c.unfinished = append(c.unfinished, requestID)
+}
+
+// Get returns a connection for a request. The connection has been idle for less than
+// maxIdleTime and no response to this request has arrived on it, or it is new.
+func (p *Pool) Get(ctx context.Context, address, requestID string, maxIdleTime time.Duration) (*Conn, error) {
+	if c := p.takeIdle(address, requestID, maxIdleTime); c != nil {
 		return c, nil
 	}
 	return p.dial(ctx, address)
 }
 
-func (p *Pool) takeIdle(address string, maxIdleTime time.Duration) *Conn {
+func (p *Pool) takeIdle(address, requestID string, maxIdleTime time.Duration) *Conn {
 	now := time.Now()
 	for {
-		c := p.popIdle(address)
+		c := p.popIdle(address, requestID)
 		if c == nil {
 			return nil
 		}
@@ -96,17 +113,19 @@
 	}
 }
 
-func (p *Pool) popIdle(address string) *Conn {
+// popIdle removes the connection from the pool that was used last among those on which
+// no response to the request has arrived. It returns nil if there is none.
+func (p *Pool) popIdle(address, requestID string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if !slices.Contains(c.unfinished, requestID) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	list[len(list)-1] = nil
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // reusable reports whether the target has neither closed the connection nor
--- a/internal/adapter/targetconn/pool_test.go
+++ b/internal/adapter/targetconn/pool_test.go
@@ -26,7 +26,7 @@
 
 func get(t *testing.T, p *Pool, address string) *Conn {
 	t.Helper()
-	c, err := p.Get(context.Background(), address, time.Minute)
+	c, err := p.Get(context.Background(), address, "r", time.Minute)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -87,7 +87,7 @@
 	}
 	p.Put(get(t, p, address), &http.Response{Header: http.Header{"Keep-Alive": {"timeout=5, max=100"}}})
 	time.Sleep(5 * time.Millisecond)
-	c, err := p.Get(context.Background(), address, time.Millisecond)
+	c, err := p.Get(context.Background(), address, "r", time.Millisecond)
 	if err != nil || c.Reused {
 		t.Errorf("connection idle for more than the accepted 1 ms was reused, or Get failed: %v", err)
 	}
@@ -101,7 +101,26 @@
 	}
 	address := l.Addr().String()
 	l.Close()
-	if _, err := New().Get(context.Background(), address, time.Minute); !errors.Is(err, ErrNotSent) {
+	if _, err := New().Get(context.Background(), address, "r", time.Minute); !errors.Is(err, ErrNotSent) {
 		t.Errorf("error %v, want ErrNotSent", err)
 	}
 }
+
+// Guards against a connection that carries a request again which the target has refused
+// on it: the target may repeat the refusal, which is then taken for the answer to the
+// second attempt.
+func TestConnectionCarriesARefusedRequestOnlyOnce(t *testing.T) {
+	address := listen(t, func(net.Conn) {})
+	p := New()
+	c := get(t, p, address)
+	c.RecordUnfinished("refused")
+	p.Put(c, &http.Response{})
+	again, err := p.Get(context.Background(), address, "refused", time.Minute)
+	if err != nil || again.Reused {
+		t.Errorf("the connection carries the request again, or Get failed: %v", err)
+	}
+	other, err := p.Get(context.Background(), address, "other", time.Minute)
+	if err != nil || !other.Reused {
+		t.Errorf("the connection does not carry another request, or Get failed: %v", err)
+	}
+}
--- a/internal/proxy/faultytarget_test.go
+++ b/internal/proxy/faultytarget_test.go
@@ -92,6 +92,54 @@
 	}
 }
 
+// Guards against a refusal that an engine writes once more before it runs the second
+// attempt of the same request on the same connection: both copies have the ID of the
+// request, so the request went out a third time and ran twice. The second attempt can go
+// to the same address because the engine only expects other weights, or because another
+// target has it now.
+func TestRepeatedRefusalIsNoAnswerToTheNextAttempt(t *testing.T) {
+	for _, c := range []struct {
+		name, headers string
+		addressReused bool
+	}{
+		{"other weights", "Other-Weights: yes\r\n", false},
+		{"misdirected", "Misdirected: yes\r\nNot-Run: yes\r\n", true},
+		{"refused", "Not-Run: yes\r\n", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			refuse := respond("421 Misdirected Request", c.headers, "")
+			var refusedOn net.Conn
+			first := func(conn net.Conn, r *http.Request) bool {
+				refusedOn = conn
+				return refuse(conn, r)
+			}
+			second := func(conn net.Conn, r *http.Request) bool {
+				if conn == refusedOn {
+					refuse(conn, r)
+				}
+				return respondOK("ran")(conn, r)
+			}
+			faulty := newTarget(t, first, second)
+			next := newTarget(t, respondOK("ran"))
+			if c.addressReused {
+				next = faulty
+			}
+			f := newFront(t, gatewayconfig.Route{Kind: gatewayconfig.RunOnce}, faulty, next)
+			resp, body, err := f.call(t, "r1", "POST", "b")
+			if err != nil || resp.StatusCode != http.StatusOK || body != "ran" {
+				t.Errorf("response %v with body %q, %v", resp, body, err)
+			}
+			runs := len(faulty.requests()) - 1
+			if !c.addressReused {
+				runs += len(next.requests())
+			}
+			if runs != 1 {
+				t.Errorf("the request ran %d times, want once", runs)
+			}
+		})
+	}
+}
+
 // Guards against a repeated refusal that arrives while the connection is idle.
 func TestRefusalOnAnIdleConnectionIsNoAnswerToTheNextRequest(t *testing.T) {
 	repeatLater := func(conn net.Conn, r *http.Request) bool {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -49,6 +49,7 @@
 	pause, _ := time.ParseDuration(h.Get("Pause"))
 	return Response{
 		RequestID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "", Misdirected: h.Get("Misdirected") != "",
+		OtherWeights: h.Get("Other-Weights") != "",
 		Notice: placement.Notice{Draining: h.Get("Draining") != "", Limit: limit, HasLimit: err == nil, Pause: pause},
 	}
 }
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -87,7 +87,7 @@
 	if c.route.Retryable() {
 		maxIdle = maxIdleRetryable
 	}
-	conn, err := c.Pool.Get(ctx, choice.Target.Address, maxIdle)
+	conn, err := c.Pool.Get(ctx, choice.Target.Address, c.request.ID, maxIdle)
 	if err != nil {
 		c.reason = err.Error()
 		if ctx.Err() != nil {
@@ -110,6 +110,9 @@
 		_ = conn.Conn.Close()
 		return result
 	}
+	if result != resultDelivered {
+		conn.RecordUnfinished(c.request.ID)
+	}
 	c.Pool.Put(conn, s.reusableAfter)
 	return result
 }
