Give workspaces a new cache scope when the isolated ones change

Cause: all workspaces that are not isolated shared one scope, which stayed the same when one of them became isolated. Engines and stores keep what was computed in it.

Change: the shared scope contains a hash of the names of the isolated workspaces, so that no workspace that is isolated now has ever used it. A retry or resumption takes the scope of the present document.

--- a/internal/gatewayconfig/document.go
+++ b/internal/gatewayconfig/document.go
@@ -210,6 +210,8 @@
 	services   map[string]*Service
 	keys       map[[sha256.Size]byte]*Workspace
 	workspaces map[string]*Workspace
+	// sharedScope is the cache scope of all workspaces that are not isolated.
+	sharedScope string
 }
 
 // Compile returns the table of a valid document.
@@ -221,6 +223,7 @@
 		keys:       make(map[[sha256.Size]byte]*Workspace),
 		workspaces: make(map[string]*Workspace),
 	}
+	t.sharedScope = sharedScopeOf(d.Workspaces)
 	for i := range d.Routes {
 		t.addRoute(&d.Routes[i])
 	}
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -97,7 +97,9 @@
 	// route.
 	deadline         time.Time
 	placementRequest placement.Request
-	chargedCost      float64
+	// scope is the scope of the cached parts of the prompt; empty for plain requests.
+	scope       string
+	chargedCost float64
 	// reservedBytes is the part of the memory budget that the bodies take.
 	reservedBytes int64
 
@@ -352,7 +354,16 @@
 	if !c.route.Cached || service == nil || service.Engine == nil {
 		return
 	}
-	scope := c.cacheScope()
+	c.setCacheScope(c.state.Table.CacheScope(c.workspace))
+	for _, model := range service.Engine.Models {
+		c.placementRequest.Weights = max(c.placementRequest.Weights, c.state.Weights[model])
+	}
+}
+
+// setCacheScope sets the scope within which the cached parts of the prompt are shared.
+func (c *call) setCacheScope(scope string) {
+	c.scope = scope
+	c.placementRequest.Parts = nil
 	for _, part := range c.request.Parts {
 		key := xxhash.Sum64String(scope + "\x00" + part.Name)
 		c.placementRequest.Parts = append(c.placementRequest.Parts, placement.Part{ID: key, Tokens: part.Tokens})
@@ -360,18 +371,22 @@
 	if len(c.placementRequest.Parts) > 0 {
 		c.placementRequest.UniqueParts = 1
 	}
-	for _, model := range service.Engine.Models {
-		c.placementRequest.Weights = max(c.placementRequest.Weights, c.state.Weights[model])
-	}
 }
 
-// cacheScope returns the scope within which cached parts are shared: one for
-// each isolated workspace, and one for all others.
-func (c *call) cacheScope() string {
-	if c.workspace != nil && c.workspace.Isolated {
-		return "isolated-" + c.workspace.Name
+// renewCacheScope sets the scope of the present document before another attempt. A
+// workspace may have become isolated since the request arrived.
+func (c *call) renewCacheScope() {
+	table := c.State().Table
+	if c.scope == "" || table == nil || table == c.state.Table {
+		return
+	}
+	workspace := c.workspace
+	if workspace != nil {
+		workspace = table.Workspace(workspace.Name)
+	}
+	if scope := table.CacheScope(workspace); scope != c.scope {
+		c.setCacheScope(scope)
 	}
-	return "shared"
 }
 
 // chargeQuota charges the cost of the request to the quota of its workspace.
@@ -471,6 +486,9 @@
 
 // choose returns the choice of a target for the next attempt; nil if there is none.
 func (c *call) choose() *placement.Choice {
+	if c.attempts > 0 {
+		c.renewCacheScope()
+	}
 	if choice := c.reserved; choice != nil {
 		c.reserved = nil
 		return choice
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -41,6 +41,9 @@
 	if a.ResumeAfter != "" {
 		h.Set("After", a.ResumeAfter)
 	}
+	if a.Scope != "" {
+		h.Set("Scope", a.Scope)
+	}
 	return h
 }
 
@@ -50,7 +53,7 @@
 	return Response{
 		RequestID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "", Misdirected: h.Get("Misdirected") != "",
 		OtherWeights: h.Get("Other-Weights") != "",
-		Notice: placement.Notice{Draining: h.Get("Draining") != "", Limit: limit, HasLimit: err == nil, Pause: pause},
+		Notice:       placement.Notice{Draining: h.Get("Draining") != "", Limit: limit, HasLimit: err == nil, Pause: pause},
 	}
 }
 
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -214,7 +214,7 @@
 		return
 	}
 	a.Weights = s.choice.Target.Weights
-	a.Scope = s.cacheScope() + "-" + strconv.FormatUint(a.Weights, 10)
+	a.Scope = s.scope + "-" + strconv.FormatUint(a.Weights, 10)
 	if a.Weights == 0 {
 		return
 	}
