Keep the control log going while single connections wait for lost packets

Change: three goroutines send the urgent messages to each replica.

TestHeartbeatRepeatsEntriesWithoutAcknowledgement failed before.

--- a/internal/adapter/replica/failurelog.go
+++ b/internal/adapter/replica/failurelog.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,13 +14,20 @@
 type failureLog struct {
 	logger  *zap.Logger
 	address string
+
+	mu sync.Mutex
 	// failed counts the requests that have failed since the last success.
 	failed int
 }
 
 // record records the result of a request with a payload of the given size.
 func (f *failureLog) record(request *raftv1.StepRequest, payloadBytes int, took time.Duration, err error) {
-	if f.logger == nil || err == nil && f.failed == 0 {
+	if f.logger == nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err == nil && f.failed == 0 {
 		return
 	}
 	fields := []zap.Field{
--- a/internal/adapter/replica/transport.go
+++ b/internal/adapter/replica/transport.go
@@ -21,6 +21,9 @@
 	// minBytesPerSecond is the slowest rate at which payload is expected to be
 	// sent: 2 Mbit/s.
 	minBytesPerSecond = 256 << 10
+	// urgentSenders is the number of goroutines that send urgent messages to one
+	// replica. While one waits for a lost packet, the others go on.
+	urgentSenders = 3
 	// sendQueueCapacity bounds the messages queued for one replica.
 	sendQueueCapacity = 1024
 	// maxBatchMessages bounds the messages in one request.
@@ -38,9 +41,9 @@
 	return time.Duration(payloadBytes) * time.Second / minBytesPerSecond
 }
 
-// TwirpTransport implements Transport over Twirp. For each replica it has two
-// goroutines, which send one request at a time: one for ordered messages, which can
-// be large, and one for those that must not wait for them.
+// TwirpTransport implements Transport over Twirp. For each replica it has goroutines that
+// send one request at a time: one for ordered messages, which can be large, and
+// urgentSenders for those that must not wait for them.
 type TwirpTransport struct {
 	// Self is the address at which other replicas reach this VM.
 	Self string
@@ -88,14 +91,20 @@
 	queues := &sendQueues{ring.New[raft.Message](sendQueueCapacity), ring.New[raft.Message](sendQueueCapacity)}
 	t.peers[address] = queues
 	client := raftv1.NewRaftServiceProtobufClient(t.URL(address), t.Client)
-	for _, queue := range []*ring.Ring[raft.Message]{queues.ordered, queues.urgent} {
-		t.Go(func(ctx context.Context) { t.sendLoop(ctx, client, address, queue) })
-	}
+	t.startSenders(client, address, queues.ordered, 1)
+	t.startSenders(client, address, queues.urgent, urgentSenders)
 	return queues
 }
 
-func (t *TwirpTransport) sendLoop(ctx context.Context, client raftv1.RaftService, address string, queue *ring.Ring[raft.Message]) {
-	failures := failureLog{logger: t.Logger, address: address}
+// startSenders starts count goroutines that send the messages of a queue.
+func (t *TwirpTransport) startSenders(client raftv1.RaftService, address string, queue *ring.Ring[raft.Message], count int) {
+	failures := &failureLog{logger: t.Logger, address: address}
+	for range count {
+		t.Go(func(ctx context.Context) { t.sendLoop(ctx, client, queue, failures) })
+	}
+}
+
+func (t *TwirpTransport) sendLoop(ctx context.Context, client raftv1.RaftService, queue *ring.Ring[raft.Message], failures *failureLog) {
 	for {
 		first, ok := queue.Pop(ctx)
 		if !ok {
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -63,7 +63,7 @@
 	members := n.log.members()
 	for _, member := range members {
 		if member.ID != n.id && n.peers[member.ID] == nil {
-			n.peers[member.ID] = &peer{next: n.log.last() + 1, probing: true, lastProbe: -n.config.HeartbeatInterval}
+			n.peers[member.ID] = &peer{next: n.log.last() + 1, probing: true, lastProbe: -n.config.HeartbeatInterval, lastResend: -n.config.HeartbeatInterval}
 		}
 	}
 	for id := range n.peers {
@@ -142,7 +142,7 @@
 	for p.next <= n.log.last() && p.hasWindow(&n.config) {
 		entries := n.log.entriesFrom(p.next, n.config.MaxAppendBytes)
 		n.sendAppend(id, p.next-1, entries, true)
-		p.recordSent(entries)
+		p.recordSent(entries, now)
 	}
 	if len(p.inflight) > 0 && now-p.lastProbe >= n.config.HeartbeatInterval {
 		p.lastProbe = now
@@ -150,16 +150,33 @@
 	}
 }
 
-// sendHeartbeat sends an empty append after the last entry that the replica is known
-// to have. It may overtake entries, so that a large one delays neither the lease nor
-// the election timer.
+// sendHeartbeat sends an append after the last entry that the replica is known to have.
+// It may overtake entries, so that a large one delays neither the lease nor the election
+// timer. It is empty, except that it repeats a few entries that have not been acknowledged
+// for a heartbeat interval: the connection that carries them may wait for a lost packet.
 func (n *Node) sendHeartbeat(id string, p *peer) {
 	prev := p.match
 	if _, ok := n.log.term(prev); !ok {
 		// Logs always match at index 0, before the first entry.
-		prev = 0
+		n.sendAppend(id, 0, nil, false)
+		return
+	}
+	n.sendAppend(id, prev, n.entriesToRepeat(p), false)
+}
+
+// entriesToRepeat returns the entries without acknowledgement that a heartbeat repeats.
+func (n *Node) entriesToRepeat(p *peer) []Entry {
+	now := n.config.Clock()
+	interval := n.config.HeartbeatInterval
+	if len(p.inflight) == 0 || now-p.inflight[0].sentAt < interval || now-p.lastResend < interval {
+		return nil
+	}
+	entries := n.log.entriesFrom(p.match+1, n.config.MaxProbeBytes)
+	if entriesSize(entries) > n.config.MaxProbeBytes {
+		return nil
 	}
-	n.sendAppend(id, prev, nil, false)
+	p.lastResend = now
+	return entries
 }
 
 // probe sends one append per heartbeat interval to a replica whose log is not
--- a/internal/raft/network_test.go
+++ b/internal/raft/network_test.go
@@ -53,11 +53,13 @@
 	// lost or sent twice. maxDelay limits its latency.
 	lossPercent, duplicatePercent int
 	maxDelay                      time.Duration
-	tickInterval                  time.Duration
-	maxAppendBytes                int
-	maxInflight                   uint64
-	maxInflightBytes              int
-	maxProbeBytes                 int
+	// dropOrdered loses all messages that must keep their order.
+	dropOrdered      bool
+	tickInterval     time.Duration
+	maxAppendBytes   int
+	maxInflight      uint64
+	maxInflightBytes int
+	maxProbeBytes    int
 	// earlyElections makes about half of all election timeouts the shortest
 	// possible.
 	earlyElections bool
@@ -204,7 +206,7 @@
 
 func (w *network) transmit(h *simHost, messages []Message, afterSync bool) {
 	for _, m := range messages {
-		if m.NeedsSync() != afterSync || w.rand.IntN(100) < w.lossPercent {
+		if m.NeedsSync() != afterSync || w.rand.IntN(100) < w.lossPercent || w.dropOrdered && m.Ordered {
 			continue
 		}
 		if m.Kind == MsgSnapshot {
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -126,6 +126,8 @@
 	// shows whether earlier ones were lost.
 	probing   bool
 	lastProbe time.Duration
+	// lastResend is when entries without acknowledgement were sent again.
+	lastResend time.Duration
 	// ackedSendTime is the send time of the latest request that the replica has
 	// responded to, and ackedRound the latest read round that it has responded
 	// to.
@@ -144,8 +146,9 @@
 // sentAppend is an append that has been sent.
 type sentAppend struct {
 	// last is the index of its last entry.
-	last  uint64
-	bytes int
+	last   uint64
+	bytes  int
+	sentAt time.Duration
 }
 
 // hasWindow reports whether the limits for unacknowledged entries allow another
@@ -155,10 +158,10 @@
 }
 
 // recordSent records an append of the entries from p.next on.
-func (p *peer) recordSent(entries []Entry) {
+func (p *peer) recordSent(entries []Entry, now time.Duration) {
 	size := entriesSize(entries)
 	p.next += uint64(len(entries))
-	p.inflight = append(p.inflight, sentAppend{p.next - 1, size})
+	p.inflight = append(p.inflight, sentAppend{p.next - 1, size, now})
 	p.inflightBytes += size
 }
 
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -328,3 +329,25 @@
 		t.Fatalf("log ends at entry %d with commit index %d, want 5 and 3", last, commit)
 	}
 }
+
+// Guards against entries that wait as long as one connection does for a lost packet,
+// while heartbeats still reach the replica.
+func TestHeartbeatRepeatsEntriesWithoutAcknowledgement(t *testing.T) {
+	w := newNetwork(1, 3, 0, []float64{1})
+	for _, h := range w.hosts {
+		w.start(h)
+	}
+	w.run(5 * time.Second)
+	i := slices.IndexFunc(w.hosts, func(h *simHost) bool { return h.node.role == Leader })
+	leader := w.hosts[i]
+	w.dropOrdered = true
+	w.propose(leader, 3)
+	last := leader.node.log.last()
+	w.run(2 * 300 * time.Millisecond)
+	if leader.node.log.commit < last {
+		t.Errorf("entries up to %d are committed, want %d", leader.node.log.commit, last)
+	}
+	if w.failure != "" {
+		t.Fatal(w.failure)
+	}
+}
