--- a/internal/edge/peerclient_test.go
+++ b/internal/edge/peerclient_test.go
@@ -19,8 +19,10 @@
 // it would run out of memory.
 func TestEndlessResponseOfAPeerIsCut(t *testing.T) {
 	for name, head := range map[string]string{
-		"headers": "HTTP/1.1 200 OK\r\n",
-		"body":    "HTTP/1.1 200 OK\r\n\r\n\"",
+		"headers":         "HTTP/1.1 200 OK\r\n",
+		"body":            "HTTP/1.1 200 OK\r\n\r\n\"",
+		"chunk extension": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;",
+		"trailers":        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			var sent atomic.Int64
