Allocate the ports of tests from a range that only one process uses

Cause: freePort listened on a port chosen by the kernel, closed it and handed it out. An outgoing connection or another process could take it before its use; that failed the whole check once.

Change: loopback.AllocatePort hands out ports of the block that the process has reserved, below the range of outgoing connections. The tests of the control log, whose members listen again after a stop, and those of refused connections use it too.

--- a/internal/adapter/replica/cluster_test.go
+++ b/internal/adapter/replica/cluster_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/cuminwing/cuminwing/internal/adapter/disk"
 	"github.com/cuminwing/cuminwing/internal/control"
+	"github.com/cuminwing/cuminwing/internal/loopback"
 	"github.com/cuminwing/cuminwing/internal/raft"
 	raftv1 "github.com/cuminwing/cuminwing/proto/raft/v1"
 )
@@ -112,10 +113,7 @@
 	addresses := make(map[string]string)
 	var listeners []net.Listener
 	for i := range size {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			tb.Fatal(err)
-		}
+		l := listenLoopback(tb)
 		listeners = append(listeners, l)
 		v := &vm{name: fmt.Sprintf("vm-%d", i), folder: tb.TempDir(), address: l.Addr().String()}
 		addresses[v.name] = v.address
@@ -234,12 +232,23 @@
 	return out
 }
 
-// addNonVoter starts a VM that is not a member yet.
-func (c *cluster) addNonVoter(name string) *vm {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// listenLoopback listens on an address that stays free for the VM while it is down.
+func listenLoopback(tb testing.TB) net.Listener {
+	tb.Helper()
+	address, err := loopback.AllocateAddress()
 	if err != nil {
-		c.tb.Fatal(err)
+		tb.Fatal(err)
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		tb.Fatal(err)
 	}
+	return l
+}
+
+// addNonVoter starts a VM that is not a member yet.
+func (c *cluster) addNonVoter(name string) *vm {
+	l := listenLoopback(c.tb)
 	v := &vm{name: name, folder: c.tb.TempDir(), address: l.Addr().String(), nonVoter: true}
 	c.vms = append(c.vms, v)
 	c.start(v, l)
--- a/internal/adapter/replica/replica_test.go
+++ b/internal/adapter/replica/replica_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -14,6 +13,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"github.com/cuminwing/cuminwing/internal/control"
+	"github.com/cuminwing/cuminwing/internal/loopback"
 	"github.com/cuminwing/cuminwing/internal/raft"
 	raftv1 "github.com/cuminwing/cuminwing/proto/raft/v1"
 )
@@ -156,11 +156,11 @@
 // forwarded: not committed if the connection failed, uncertain if only the
 // response was lost.
 func TestForwardingErrors(t *testing.T) {
-	refused, err := net.Listen("tcp", "127.0.0.1:0")
+	// Nothing listens on the address.
+	refused, err := loopback.AllocateAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	_ = refused.Close()
 	aborting := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 		panic(http.ErrAbortHandler)
 	}))
@@ -170,7 +170,7 @@
 		address string
 		want    error
 	}{
-		{"connection refused", refused.Addr().String(), control.ErrNotCommitted},
+		{"connection refused", refused, control.ErrNotCommitted},
 		{"response lost", aborting.Listener.Addr().String(), control.ErrUncertain},
 	}
 	for _, tt := range tests {
--- a/internal/adapter/targetconn/pool_test.go
+++ b/internal/adapter/targetconn/pool_test.go
@@ -95,12 +95,11 @@
 
 // Guards against a failed dial that is reported as a request that may have run.
 func TestFailedDialMeansNotSent(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	// Nothing listens on the address.
+	address, err := loopback.AllocateAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := l.Addr().String()
-	l.Close()
 	if _, err := New().Get(context.Background(), address, "r", time.Minute); !errors.Is(err, ErrNotSent) {
 		t.Errorf("error %v, want ErrNotSent", err)
 	}
--- a/internal/adapter/targethttp/contract_test.go
+++ b/internal/adapter/targethttp/contract_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -14,6 +13,7 @@
 	"time"
 
 	"github.com/cuminwing/cuminwing/internal/config"
+	"github.com/cuminwing/cuminwing/internal/loopback"
 	"github.com/cuminwing/cuminwing/internal/serving"
 	"github.com/cuminwing/cuminwing/internal/target"
 )
@@ -120,13 +120,13 @@
 // which would report the request as not run, and against a refused connection
 // that is not reported as a DialError.
 func TestRefusedDial(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	// Nothing listens on the address.
+	address, err := loopback.AllocateAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	l.Close()
 	for _, http2 := range []bool{false, true} {
-		dest := &target.Target{Announcement: target.Announcement{URL: "http://" + l.Addr().String(), Capabilities: target.Capabilities{HTTP2: http2}}}
+		dest := &target.Target{Announcement: target.Announcement{URL: "http://" + address, Capabilities: target.Capabilities{HTTP2: http2}}}
 		var dial *serving.DialError
 		if _, err := countChunks(NewEngineClient(nil), dest, time.Second); !errors.As(err, &dial) {
 			t.Errorf("refused connection to engine, http2=%t: got %v, want a DialError", http2, err)
--- a/internal/edge/corejoin_test.go
+++ b/internal/edge/corejoin_test.go
@@ -16,8 +16,8 @@
 // next one. Over links that lose packets this took seconds for each member, while a
 // voter was missing.
 func TestJoinRequestsDoNotWaitForEachOther(t *testing.T) {
-	port := freePort(t)
-	controlPort := strconv.Itoa(freePort(t))
+	port := allocatePort(t)
+	controlPort := strconv.Itoa(allocatePort(t))
 	asked := [2]chan struct{}{make(chan struct{}), make(chan struct{})}
 	var seeds []string
 	for i := range asked {
--- a/internal/edge/quarantine_test.go
+++ b/internal/edge/quarantine_test.go
@@ -142,7 +142,7 @@
 	}
 	t.Cleanup(e.stop)
 	for range count {
-		go e.start(fmt.Sprintf("%s:%d", nextHostAddress(), freePort(t)))
+		go e.start(fmt.Sprintf("%s:%d", nextHostAddress(), allocatePort(t)))
 	}
 	return e
 }
--- a/internal/edge/restart_test.go
+++ b/internal/edge/restart_test.go
@@ -23,7 +23,7 @@
 			host := nextHostAddress()
 			s := Settings{
 				VM: host, Zone: "z", Region: "r", Regions: map[string]string{"z": "r"}, IP: host,
-				ControlAddress: net.JoinHostPort(host, strconv.Itoa(freePort(t))), PeerPort: freePort(t), FirstStart: true,
+				ControlAddress: net.JoinHostPort(host, strconv.Itoa(allocatePort(t))), PeerPort: allocatePort(t), FirstStart: true,
 				DataFolder: t.TempDir(), Guarantees: testGuarantees(),
 			}
 			s.Seeds = []string{s.ControlAddress}
--- a/internal/edge/system_test.go
+++ b/internal/edge/system_test.go
@@ -100,14 +100,14 @@
 	return fmt.Sprintf("127.77.%d.%d", n/250, n%250+1)
 }
 
-func freePort(t *testing.T) int {
+// allocatePort returns a port that no other process takes before it is used.
+func allocatePort(t *testing.T) int {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	port, err := loopback.AllocatePort()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
+	return port
 }
 
 func testGuarantees() Guarantees {
@@ -127,8 +127,8 @@
 // configure before their start.
 func newDeploymentWith(t *testing.T, cores int, configure func(*runningCore)) *deployment {
 	t.Helper()
-	d := &deployment{t: t, port: freePort(t)}
-	controlPort := strconv.Itoa(freePort(t))
+	d := &deployment{t: t, port: allocatePort(t)}
+	controlPort := strconv.Itoa(allocatePort(t))
 	var seeds []string
 	for range cores {
 		host := nextHostAddress()
@@ -255,7 +255,7 @@
 	host := nextHostAddress()
 	s := Settings{
 		VM: host, Zone: "z", Region: "r", Regions: map[string]string{"z": "r"}, IP: host, PeerPort: d.port, MetricsPort: d.metricsPort,
-		FrontAddress: fmt.Sprintf("%s:%d", host, freePort(d.t)), ReadyAddress: fmt.Sprintf("%s:%d", host, freePort(d.t)),
+		FrontAddress: fmt.Sprintf("%s:%d", host, allocatePort(d.t)), ReadyAddress: fmt.Sprintf("%s:%d", host, allocatePort(d.t)),
 		Seeds: d.cores[0].settings.Seeds, Guarantees: testGuarantees(),
 	}
 	s.Guarantees.GracePeriod = cmp.Or(d.gracePeriod, s.Guarantees.GracePeriod)
@@ -456,7 +456,7 @@
 // Guards against metrics that are not served on the port of the deploy file.
 func TestCountersAreServedOnTheMetricsPort(t *testing.T) {
 	d := newDeployment(t, 1)
-	d.metricsPort = freePort(t)
+	d.metricsPort = allocatePort(t)
 	ctx := context.Background()
 	eventually(t, "document", func() error { return d.cores[0].core.PutDocument(ctx, documentWithKey(1, "k1")) })
 	target := fleet.Target{ID: "t1", Service: "s", Address: startEchoTarget(t), Zone: "z", Started: 1}
--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -34,21 +34,33 @@
 
 // AllocateAddress returns a loopback address whose port is free for TCP and UDP.
 func AllocateAddress() (string, error) {
+	port, err := AllocatePort()
+	if err != nil {
+		return "", err
+	}
+	return address(port), nil
+}
+
+// AllocatePort returns a port of the loopback addresses that is free for TCP and UDP and
+// that no other process allocates.
+func AllocatePort() (int, error) {
 	mu.Lock()
 	defer mu.Unlock()
 	if err := reserveBlock(); err != nil {
-		return "", err
+		return 0, err
 	}
 	for range portsPerBlock - 1 {
-		address := fmt.Sprint("127.0.0.1:", blockStart+nextOffset)
+		port := blockStart + nextOffset
 		nextOffset = (nextOffset + 1) % (portsPerBlock - 1)
-		if isFree(address) {
-			return address, nil
+		if isFree(address(port)) {
+			return port, nil
 		}
 	}
-	return "", errNoPort
+	return 0, errNoPort
 }
 
+func address(port int) string { return fmt.Sprint("127.0.0.1:", port) }
+
 func reserveBlock() error {
 	if blockListener != nil {
 		return nil
