Count a far replica as caught up while entries are committed all the time

Cause: a replica counted as caught up only if it stored the newest committed entry at the moment of the check. In another region it always lacks the entries of the last round trip, so while entries were committed every 20 ms, as during a rollout, a learner was not promoted and a lost voter not replaced.

Change: the leader tracks when a replica has stored what was committed, and a replica counts as caught up if that took at most half an election timeout.

--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -63,7 +63,8 @@
 	members := n.log.members()
 	for _, member := range members {
 		if member.ID != n.id && n.peers[member.ID] == nil {
-			n.peers[member.ID] = &peer{next: n.log.last() + 1, probing: true, lastProbe: -n.config.HeartbeatInterval, lastResend: -n.config.HeartbeatInterval}
+			n.peers[member.ID] = &peer{next: n.log.last() + 1, probing: true, lastProbe: -n.config.HeartbeatInterval, lastResend: -n.config.HeartbeatInterval,
+				lag: commitLag{index: n.log.commit + 1}}
 		}
 	}
 	for id := range n.peers {
@@ -261,6 +262,7 @@
 	case m.Index > p.match || p.probing && m.Index+1 >= p.next:
 		n.recordMatch(m.From, p, m.Index)
 	}
+	n.trackLag(p)
 	n.confirmReads()
 }
 
--- a/internal/raft/members.go
+++ b/internal/raft/members.go
@@ -165,8 +165,8 @@
 	return index, n.term, nil
 }
 
-// caughtUp reports whether a majority of the voters in next respond and store
-// every committed entry, and whether a learner to be promoted does too. Without
+// caughtUp reports whether a majority of the voters in next respond and have caught
+// up, and whether a learner to be promoted has too. Without
 // this check, the loss of one more VM right after a membership repair could lose
 // committed entries or block the log.
 func (n *Node) caughtUp(next Membership, c Change) bool {
@@ -182,10 +182,3 @@
 	}
 	return caughtUpVoters >= next.Quorum()
 }
-
-// peerCaughtUp reports whether a replica has finished bootstrapping, responds and
-// stores every committed entry.
-func (n *Node) peerCaughtUp(id string) bool {
-	p := n.peers[id]
-	return p != nil && p.bootstrapped && n.active(p) && p.match >= n.log.commit
-}
--- a/internal/raft/network_test.go
+++ b/internal/raft/network_test.go
@@ -53,6 +53,9 @@
 	// lost or sent twice. maxDelay limits its latency.
 	lossPercent, duplicatePercent int
 	maxDelay                      time.Duration
+	// farDelay is added to the latency of messages from and to the hosts in far.
+	farDelay time.Duration
+	far      map[string]bool
 	// dropOrdered loses all messages that must keep their order.
 	dropOrdered      bool
 	tickInterval     time.Duration
@@ -218,6 +221,9 @@
 		m.Entries = slices.Clone(m.Entries)
 		for range 1 + boolToInt(w.rand.IntN(100) < w.duplicatePercent) {
 			at := w.now + time.Duration(w.rand.Int64N(int64(w.maxDelay)))
+			if w.far[m.From] || w.far[m.To] {
+				at += w.farDelay
+			}
 			w.inflightMessages = append(w.inflightMessages, inflightMessage{at, m})
 		}
 	}
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -126,6 +126,8 @@
 	// shows whether earlier ones were lost.
 	probing   bool
 	lastProbe time.Duration
+	// lag tracks how far the replica is behind the commit index.
+	lag commitLag
 	// lastResend is when entries without acknowledgement were sent again.
 	lastResend time.Duration
 	// ackedSendTime is the send time of the latest request that the replica has
@@ -434,6 +436,9 @@
 	// Match maps each other replica to its last entry known to match the
 	// leader's log. Only the leader sets it.
 	Match map[string]uint64
+	// CaughtUp reports for each other replica whether it responds and stores every
+	// entry that was committed maxCommitLag ago. Only the leader sets it.
+	CaughtUp map[string]bool
 	// Active reports for each other replica whether it has responded to a request
 	// sent within the last lease duration. Only the leader sets it.
 	Active map[string]bool
@@ -450,9 +455,11 @@
 	if n.role == Leader {
 		s.Match = make(map[string]uint64, len(n.peers))
 		s.Active = make(map[string]bool, len(n.peers))
+		s.CaughtUp = make(map[string]bool, len(n.peers))
 		for id, p := range n.peers {
 			s.Match[id] = p.match
 			s.Active[id] = n.active(p)
+			s.CaughtUp[id] = n.peerCaughtUp(id)
 		}
 	}
 	return s
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -351,3 +351,40 @@
 		t.Fatal(w.failure)
 	}
 }
+
+// Guards against a learner in another region that never counts as caught up, and so never
+// replaces a lost voter, while entries are committed all the time.
+func TestFarLearnerIsPromotedUnderLoad(t *testing.T) {
+	w := newNetwork(1, 3, 1, []float64{1})
+	w.maxInflightBytes = 1 << 20
+	learner := w.hosts[3]
+	w.far, w.farDelay = map[string]bool{learner.id: true}, 50*time.Millisecond
+	for _, h := range w.hosts {
+		w.start(h)
+	}
+	w.run(5 * time.Second)
+	leader := w.hosts[slices.IndexFunc(w.hosts, func(h *simHost) bool { return h.node.role == Leader })]
+	if _, _, err := leader.node.ProposeChange(Change{Kind: AddLearner, ID: learner.id, Address: learner.id}); err != nil {
+		t.Fatal(err)
+	}
+	w.processReady(leader)
+	const proposalInterval, limit = 20 * time.Millisecond, 3 * time.Second
+	err := ErrNotCaughtUp
+	for elapsed := time.Duration(0); err != nil && elapsed < limit; elapsed += proposalInterval {
+		w.propose(leader, 1)
+		w.run(proposalInterval)
+		_, _, err = leader.node.ProposeChange(Change{Kind: Promote, ID: learner.id})
+	}
+	if err != nil {
+		t.Errorf("after %v: %v", limit, err)
+	}
+	// A learner that the entries do not reach is not promoted.
+	w.blocked[link{leader.id, learner.id}] = true
+	w.run(simElectionTimeout)
+	if leader.node.peerCaughtUp(learner.id) {
+		t.Error("a learner that cannot be reached counts as caught up")
+	}
+	if w.failure != "" {
+		t.Fatal(w.failure)
+	}
+}
--- a/internal/raft/repair.go
+++ b/internal/raft/repair.go
@@ -118,10 +118,10 @@
 	}
 }
 
-// caughtUpLearner returns a responding learner that stores every committed entry.
+// caughtUpLearner returns a responding learner that has caught up.
 func caughtUpLearner(s *Status) (string, bool) {
 	for _, m := range s.Members {
-		if !m.Voter && s.Active[m.ID] && s.Match[m.ID] >= s.Commit {
+		if !m.Voter && s.Active[m.ID] && s.CaughtUp[m.ID] {
 			return m.ID, true
 		}
 	}
