Give a replica that joins the control log again time to respond

Change: the leader forgets the replicas that are no members.

TestReplicaThatJoinsAgainHasTimeToRespond failed before.

--- a/internal/raft/repair.go
+++ b/internal/raft/repair.go
@@ -1,6 +1,9 @@
 package raft
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// smallVoterCount and largeVoterCount are the desired numbers of voters. Five
@@ -106,7 +109,13 @@
 	return smallVoterCount
 }
 
+// trackResponses updates unresponsiveSince. It forgets replicas that are no members any
+// more: one that joins again has the full time to respond.
 func (r *Repairer) trackResponses(now time.Duration, s *Status) {
+	maps.DeleteFunc(r.unresponsiveSince, func(id string, _ time.Duration) bool {
+		_, ok := s.Members.Find(id)
+		return !ok
+	})
 	for _, m := range s.Members {
 		if m.ID == s.ID || s.Active[m.ID] {
 			delete(r.unresponsiveSince, m.ID)
--- a/internal/raft/repair_test.go
+++ b/internal/raft/repair_test.go
@@ -205,3 +205,27 @@
 		t.Errorf("proposed %v of %s, want the removal of d", change.Kind, change.ID)
 	}
 }
+
+// Guards against a replica that was replaced while it did not respond, and that is removed
+// again as soon as it has joined: the time before its removal counted, and it stayed out
+// for ten seconds.
+func TestReplicaThatJoinsAgainHasTimeToRespond(t *testing.T) {
+	r := NewRepairer()
+	s := leaderStatus(members(3, "d"), "b", "d")
+	change, at := runUntilChange(r, s, time.Minute)
+	if change != (Change{Kind: Remove, ID: "c"}) {
+		t.Fatalf("proposed %v of %s, want the removal of c", change.Kind, change.ID)
+	}
+	for _, change := range []Change{change, {Kind: Promote, ID: "d"}} {
+		s.Members, _ = s.Members.apply(change)
+	}
+	r.Next(at, s)
+	s.Members, _ = s.Members.apply(Change{Kind: AddLearner, ID: "c", Address: "c:1"})
+	joined := at + 2*lostLearnerTimeout
+	if change, ok := r.Next(joined, s); ok {
+		t.Errorf("proposed %v of %s when it has just joined", change.Kind, change.ID)
+	}
+	if change, ok := r.Next(joined+lostLearnerTimeout, s); !ok || change != (Change{Kind: Remove, ID: "c"}) {
+		t.Errorf("proposed %v of %s, want the removal of c, which never responds", change.Kind, change.ID)
+	}
+}
