Wait for the own replica after each read barrier of the core

Cause: a read waited until the replica had applied the index of the leader only if the replica was a member at that moment. A replica that is removed and joins again learns of both from the log, and a read in between returned its old document.

Change: Core.awaitBarrier always waits.

--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -362,7 +362,17 @@
 	if !c.isMember() {
 		return 0, errors.Mark(errors.New("this VM is not a member of the control log"), ErrUnavailable)
 	}
+	return c.awaitBarrier(ctx)
+}
+
+// awaitBarrier is readBarrier for a replica that was a member when the read began.
+func (c *Core) awaitBarrier(ctx context.Context) (uint64, error) {
 	index, err := c.log.Barrier(ctx)
+	if err == nil {
+		// A replica that is removed from the log during the call and joins again gets
+		// the index, but has not applied it yet.
+		err = c.replica.WaitApplied(ctx, index)
+	}
 	if err != nil {
 		return 0, errors.Mark(err, ErrUnavailable)
 	}
--- a/internal/edge/corestop_test.go
+++ b/internal/edge/corestop_test.go
@@ -9,9 +9,8 @@
 	"github.com/cuminwing/cuminwing/internal/raft"
 )
 
-// addSuccessor starts a member of the core with an empty disk and waits until the
-// leader counts it as a learner that has caught up.
-func (d *deployment) addSuccessor() *runningCore {
+// startSuccessor starts a member of the core with an empty disk at another address.
+func (d *deployment) startSuccessor() *runningCore {
 	d.t.Helper()
 	host := nextHostAddress()
 	s := d.cores[0].settings
@@ -23,6 +22,14 @@
 	s.FirstStart, s.DataFolder = false, d.t.TempDir()
 	added := &runningCore{settings: s}
 	d.startCore(added)
+	return added
+}
+
+// addSuccessor starts a member like startSuccessor and waits until the leader counts it as
+// a learner that has caught up.
+func (d *deployment) addSuccessor() *runningCore {
+	d.t.Helper()
+	added := d.startSuccessor()
 	id := added.core.replica.Status().ID
 	eventually(d.t, "learner", func() error {
 		leader := d.cores[d.leaderIndex()].core.replica.Status()
