--- a/internal/raft/repair_test.go
+++ b/internal/raft/repair_test.go
@@ -208,7 +208,7 @@
 
 // Guards against a replica that was replaced while it did not respond, and that is removed
 // again as soon as it has joined: the time before its removal counted, and it stayed out
-// for ten seconds.
+// for seconds.
 func TestReplicaThatJoinsAgainHasTimeToRespond(t *testing.T) {
 	r := NewRepairer()
 	s := leaderStatus(members(3, "d"), "b", "d")
