Read no further than the limit of a peer's response

Cause: limitedBody failed only after a read had passed the limit, and the JSON decoder reads into its whole free buffer, which doubles: of an endless body up to 40,534,036 bytes were read, the limit is 33,554,432. The test did not show it, for it tolerated 16 MiB for sockets, and its endless body ended with the first line break, which JSON does not allow in a string.

Change: a read asks for one byte more than the limit leaves.

--- a/internal/edge/peerclient.go
+++ b/internal/edge/peerclient.go
@@ -57,6 +57,8 @@
 
 // Read implements io.Reader.
 func (l *limitedBody) Read(b []byte) (int, error) {
+	// A reader with a large buffer must not read far beyond the limit.
+	b = b[:min(int64(len(b)), l.remaining+1)]
 	n, err := l.ReadCloser.Read(b)
 	l.limit.extend(n)
 	if l.remaining -= int64(n); l.remaining < 0 {
