Refund quota to the part of the window that was charged

Cause: a front counts spending in slots of the window. A refund lowered the present slot. Once the charged slot had left the window, the charge was forgotten, but the refund still lowered the spending. The token bucket was filled by refunds of charges that limited it no longer.

Change: a refund names the time of its charge and lowers that slot, if it is still in the window. Ruled out: refunds of requests that may have run (possibleRuns is checked).

--- a/internal/proxy/admission.go
+++ b/internal/proxy/admission.go
@@ -201,20 +201,22 @@
 			cost = float64(c.request.PromptTokens + c.request.OutputTokens)
 		}
 	}
-	wait, ok := c.Quota.Admit(c.BootClock(), c.workspace.Name, c.workspace.Rate, c.workspace.Burst, cost)
+	now := c.BootClock()
+	wait, ok := c.Quota.Admit(now, c.workspace.Name, c.workspace.Rate, c.workspace.Burst, cost)
 	if !ok && wait <= maxQuotaWait && c.sleep(wait) {
-		wait, ok = c.Quota.Admit(c.BootClock(), c.workspace.Name, c.workspace.Rate, c.workspace.Burst, cost)
+		now = c.BootClock()
+		wait, ok = c.Quota.Admit(now, c.workspace.Name, c.workspace.Rate, c.workspace.Burst, cost)
 	}
 	if !ok {
 		return &refusal{http.StatusTooManyRequests, "quota", wait}
 	}
-	c.chargedCost = cost
+	c.chargedCost, c.chargedAt = cost, now
 	return nil
 }
 
 func (c *call) refundQuota() {
 	if c.chargedCost > 0 && c.possibleRuns == 0 {
-		c.Quota.Refund(c.workspace.Name, c.chargedCost)
+		c.Quota.Refund(c.BootClock(), c.chargedAt, c.workspace.Name, c.chargedCost)
 	}
 	c.chargedCost = 0
 }
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -95,8 +95,10 @@
 	deadline         time.Time
 	placementRequest placement.Request
 	// scope is the scope of the cached parts of the prompt; empty for plain requests.
-	scope       string
+	scope string
+	// chargedCost is what the quota was charged at chargedAt, on the BootClock.
 	chargedCost float64
+	chargedAt   time.Duration
 	// reservedBytes is the part of the memory budget that the bodies take.
 	reservedBytes int64
 
--- a/internal/proxy/ports.go
+++ b/internal/proxy/ports.go
@@ -115,7 +115,8 @@
 // whole.
 type Quota interface {
 	Admit(now time.Duration, workspace string, rate, burst, tokens float64) (wait time.Duration, ok bool)
-	Refund(workspace string, tokens float64)
+	// Refund reverses a charge that was admitted at the time charged.
+	Refund(now, charged time.Duration, workspace string, tokens float64)
 }
 
 // Shutdown is the shutdown of this VM.
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -144,7 +144,7 @@
 func (unlimitedQuota) Admit(time.Duration, string, float64, float64, float64) (time.Duration, bool) {
 	return 0, true
 }
-func (unlimitedQuota) Refund(string, float64) {}
+func (unlimitedQuota) Refund(time.Duration, time.Duration, string, float64) {}
 
 // noShutdown is the Shutdown of a VM that runs on.
 type noShutdown struct{}
--- a/internal/ratelimit/shares.go
+++ b/internal/ratelimit/shares.go
@@ -242,11 +242,14 @@
 	a.spentSinceReport += tokens
 }
 
+// slotAt returns the number of the slot that t is in.
+func slotAt(t, window time.Duration) int64 { return int64(t / (window / (windowSlots - 1))) }
+
 func (a *shareAccount) advanceSlots(now, window time.Duration) {
 	if window <= 0 {
 		return
 	}
-	slot := int64(now / (window / (windowSlots - 1)))
+	slot := slotAt(now, window)
 	for ; a.currentSlot < slot; a.currentSlot++ {
 		if slot-a.currentSlot > windowSlots {
 			a.spentBySlot = [windowSlots]float64{}
@@ -289,14 +292,23 @@
 	return sum
 }
 
-// Refund reverses the charge of a request that did not run.
-func (s *ShareLimiter) Refund(workspace string, tokens float64) {
+// Refund reverses the charge of a request that was admitted at the time charged and did
+// not run. A charge that has left the window no longer limits requests, so that there is
+// nothing to reverse.
+func (s *ShareLimiter) Refund(now, charged time.Duration, workspace string, tokens float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if a := s.accounts[workspace]; a != nil {
-		a.level += tokens
-		a.spentBySlot[a.currentSlot%windowSlots] -= tokens
+	a := s.accounts[workspace]
+	if a == nil || s.overshoot.Window <= 0 {
+		return
+	}
+	a.advanceSlots(now, s.overshoot.Window)
+	slot := slotAt(charged, s.overshoot.Window)
+	if a.currentSlot-slot >= windowSlots {
+		return
 	}
+	a.level += tokens
+	a.spentBySlot[slot%windowSlots] -= tokens
 }
 
 func (a *shareAccount) recordDemand(now time.Duration, tokens float64) {
--- a/internal/ratelimit/shares_test.go
+++ b/internal/ratelimit/shares_test.go
@@ -16,10 +16,20 @@
 	vms       []*shareVM
 	// admitted lists the admitted charges in order of time.
 	admitted []shareCharge
+	// refunds lists the charges that are refunded at refundAt. Charges of the time
+	// before holdUntil are refunded, since their requests do not run.
+	refunds             []shareRefund
+	holdUntil, refundAt time.Duration
 	// requests and refused count the requests at VMs whose lease is valid.
 	requests, refused int
 }
 
+// shareRefund is a charge that is refunded by shares.
+type shareRefund struct {
+	shareCharge
+	shares *ShareLimiter
+}
+
 type shareCharge struct {
 	at     time.Duration
 	tokens float64
@@ -77,6 +87,7 @@
 
 func (f *shareFleet) step(demand float64) {
 	f.now += testStep
+	f.refundHeld()
 	for _, v := range f.vms {
 		switch {
 		case f.random.Float64() < 0.0005:
@@ -108,11 +119,37 @@
 		if _, ok := v.shares.Admit(f.now, "w", testRate, testBurst, tokens); !ok {
 			f.refused++
 		} else {
-			f.admitted = append(f.admitted, shareCharge{f.now, tokens})
+			f.recordAdmitted(v, shareCharge{f.now, tokens})
 		}
 	}
 }
 
+// hold lets the requests that are admitted from now on wait at targets, which turn all of
+// them away later.
+func (f *shareFleet) hold() {
+	f.holdUntil = f.now + time.Duration(f.random.IntN(6000))*time.Millisecond
+	f.refundAt = f.holdUntil + time.Duration(f.random.IntN(4000))*time.Millisecond
+}
+
+func (f *shareFleet) recordAdmitted(v *shareVM, charge shareCharge) {
+	if f.now < f.holdUntil {
+		f.refunds = append(f.refunds, shareRefund{charge, v.shares})
+		return
+	}
+	f.admitted = append(f.admitted, charge)
+}
+
+// refundHeld refunds the charges of the requests that were held, once these are turned away.
+func (f *shareFleet) refundHeld() {
+	if f.now < f.refundAt {
+		return
+	}
+	for _, r := range f.refunds {
+		r.shares.Refund(f.now, r.at, "w", r.tokens)
+	}
+	f.refunds = nil
+}
+
 // largestWindow returns the largest number of tokens admitted within any
 // window.
 func (f *shareFleet) largestWindow(window time.Duration) float64 {
@@ -145,6 +182,53 @@
 	}
 }
 
+// Guards against late refunds that make room in a later part of the window than the one
+// that was charged. Requests that run must stay within the limit, whenever the others
+// turn out not to run.
+func TestSharesLimitWorkspaceWithLateRefunds(t *testing.T) {
+	window := testOvershoot.Window
+	for _, seed := range shareSeeds() {
+		f := newShareFleet(seed, 8)
+		for range 1200 {
+			if f.now >= f.refundAt && f.random.Float64() < 0.01 {
+				f.hold()
+			}
+			f.step(4 * testRate / 8)
+		}
+		limit := (testRate*window.Seconds()+testBurst)*(1+testOvershoot.Fraction) + testOvershoot.Tokens
+		if got := f.largestWindow(window); got > limit {
+			t.Errorf("seed %d: %.0f tokens ran in %v, limit %.0f", seed, got, window, limit)
+		}
+	}
+}
+
+// Guards against a refund that counts twice: once for the charge that leaves the window,
+// and once more for the later part of the window to which it was credited.
+func TestRefundCountsInThePartOfTheWindowThatWasCharged(t *testing.T) {
+	const refundAfter, again = 5 * time.Second, 8700 * time.Millisecond
+	admitAll := func(s *ShareLimiter, now time.Duration) (tokens float64) {
+		s.ApplyGrants(now, now, 1, map[string]ShareGrant{"w": {Fraction: 1}}, func(string) (float64, float64) { return testRate, testBurst })
+		for {
+			if _, ok := s.Admit(now, "w", testRate, testBurst, 5000); !ok {
+				return tokens
+			}
+			tokens += 5000
+		}
+	}
+	s := NewShareLimiter(testOvershoot)
+	notRun := admitAll(s, 0)
+	s.Report(refundAfter, []string{"w"})
+	s.Refund(refundAfter, 0, "w", notRun)
+	ran := admitAll(s, refundAfter)
+	if ran < notRun {
+		t.Errorf("%.0f tokens were admitted after a refund of %.0f", ran, notRun)
+	}
+	ran += admitAll(s, again)
+	if limit := testOvershoot.windowLimit(testRate, testBurst); ran > limit {
+		t.Errorf("%.0f tokens ran in %v, limit %.0f", ran, again-refundAfter, limit)
+	}
+}
+
 // maxFrontWait is how long a front VM lets a request wait for tokens: a third
 // of the shortest latency objective.
 const maxFrontWait = 250 * time.Millisecond
