Record the departure of a target that is not registered

Cause: the registry recorded departures of registered incarnations only. A first heartbeat that arrived after the DELETE registered the engine; so did that of an engine that had started again under its ID.

Change: each DELETE is committed and records the leader's time. A heartbeat of an unregistered incarnation that started before it is ignored, up to eight times, so that a restarted engine with a slow clock is not kept out. IDs that no target can have are not recorded.

--- a/internal/edge/coretargets.go
+++ b/internal/edge/coretargets.go
@@ -104,17 +104,11 @@
 	return make([]struct{}, len(targets)), c.propose(ctx, control.KindFleet, fleet.Command{Announces: targets}.Encode())
 }
 
-// Deregister removes a target from the registry.
+// Deregister removes a target from the registry. The departure of a target that is not
+// registered is recorded too, because its heartbeat may arrive late.
 func (c *Core) Deregister(ctx context.Context, id string) error {
-	if !c.registry.Has(id) && c.isMember() {
-		// This replica may lag behind the leader, so the target may be
-		// registered although it is missing here.
-		if _, err := c.barriers.call(ctx, struct{}{}); err != nil {
-			return ErrUnavailable
-		}
-		if !c.registry.Has(id) {
-			return nil
-		}
+	if fleet.CheckID(id) != nil {
+		return nil
 	}
 	err := c.propose(ctx, control.KindFleet, fleet.Command{Leave: id}.Encode())
 	c.logger.Info("target left", zap.String("target", id), zap.Error(err))
--- a/internal/edge/targets_test.go
+++ b/internal/edge/targets_test.go
@@ -103,6 +103,34 @@
 	}
 }
 
+// Guards against requests to a target whose only heartbeat arrives after it has left: the
+// departure of an unknown target was not recorded.
+func TestHeartbeatOfATargetThatHasLeftIsIgnored(t *testing.T) {
+	d := newDeployment(t, 1)
+	ctx := context.Background()
+	core := d.cores[0].core
+	eventually(t, "departure", func() error { return core.Deregister(ctx, "t1") })
+	late := fleet.Target{ID: "t1", Service: "s", Address: "127.0.0.1:1", Zone: "z", Started: time.Now().Add(-time.Second).UnixMilli()}
+	if err := core.Announce(ctx, late); err != nil {
+		t.Fatal(err)
+	}
+	if targets := core.registry.Current().Targets; len(targets) != 0 {
+		t.Errorf("targets are %v, want none", targets)
+	}
+	restarted := late
+	restarted.Started = time.Now().Add(time.Second).UnixMilli()
+	if err := core.Announce(ctx, restarted); err != nil {
+		t.Fatal(err)
+	}
+	if targets := core.registry.Current().Targets; len(targets) != 1 {
+		t.Errorf("targets are %v, want the restarted one", targets)
+	}
+	long := strings.Repeat("t", 100_000)
+	if err := core.Deregister(ctx, long); err != nil || len(core.registry.Current().Departed) > 1 {
+		t.Errorf("the departure of a target with an ID of %d bytes: error %v, or recorded", len(long), err)
+	}
+}
+
 // Guards against a front that sends requests to unusable entries, or dials them, when
 // an earlier version of the core has registered such entries: they stay in the control
 // log and in its snapshots.
--- a/internal/fleet/check.go
+++ b/internal/fleet/check.go
@@ -43,6 +43,9 @@
 	return nil
 }
 
+// CheckID returns an error if no target can have the ID.
+func CheckID(id string) error { return checkName(id, false) }
+
 // checkName returns an error if a name cannot be passed on in a header, a message or
 // a log line.
 func checkName(name string, optional bool) error {
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -91,6 +91,11 @@
 // deployment the system is designed for has 130 restarts a day.
 const maxDepartures = 1024
 
+// maxLateHeartbeats limits the heartbeats that are ignored because they may have been
+// sent before the target left. A restarted target whose clock is behind that of the
+// leader is registered by the next one.
+const maxLateHeartbeats = 8
+
 // MaxQuarantined limits the quarantined requests and parts. The oldest one is released
 // for a new one.
 const MaxQuarantined = 1024
@@ -121,11 +126,22 @@
 
 // Departure is an incarnation of a target that was removed.
 type Departure struct {
-	ID       string `json:"id"`
+	ID string `json:"id"`
+	// Started is the start time of the incarnation, or unknownStart if it had not
+	// been registered.
 	Started  int64  `json:"started"`
 	Revision uint64 `json:"revision"`
+	// Left is when the target deregistered itself, in Unix milliseconds; 0 if it did
+	// not. Incarnations that started before are gone, although they may not have been
+	// registered yet.
+	Left int64 `json:"left,omitempty"`
+	// LateHeartbeats is the number of heartbeats that were ignored because of Left.
+	LateHeartbeats int `json:"late,omitempty"`
 }
 
+// unknownStart is less than the start time of any target.
+const unknownStart = -1
+
 // Registry is the state machine that applies commands from the control log to a
 // State. It is safe for concurrent use.
 type Registry struct {
@@ -172,14 +188,6 @@
 	return r.state.IsUpToDate(t)
 }
 
-// Has reports whether a target is registered.
-func (r *Registry) Has(id string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	_, ok := r.state.Targets[id]
-	return ok
-}
-
 // ReplacedBy returns the registered targets with the ID or at the address of t that
 // announcing t would replace, if they are of another service.
 func (r *Registry) ReplacedBy(t Target) []Target {
@@ -236,13 +244,13 @@
 }
 
 // Apply implements control.StateMachine.
-func (r *Registry) Apply(index uint64, _ time.Time, body []byte) []byte {
+func (r *Registry) Apply(index uint64, now time.Time, body []byte) []byte {
 	var c Command
 	if err := json.Unmarshal(body, &c); err != nil {
 		return nil
 	}
 	r.mu.Lock()
-	changed := r.state.apply(index, c)
+	changed := r.state.apply(index, now, c)
 	if changed {
 		r.state.Revision = index
 	}
@@ -277,7 +285,7 @@
 	return t.equalIgnoringRevision(existing)
 }
 
-func (s *State) apply(index uint64, c Command) bool {
+func (s *State) apply(index uint64, now time.Time, c Command) bool {
 	switch {
 	case c.Announce != nil:
 		return s.announce(index, *c.Announce)
@@ -288,7 +296,7 @@
 		}
 		return changed
 	case c.Leave != "":
-		return s.deregister(index, c.Leave)
+		return s.deregister(index, now, c.Leave)
 	case c.Weights != nil:
 		return s.setWeights(index, *c.Weights)
 	case len(c.Quarantine) > 0 || len(c.Release) > 0:
@@ -312,6 +320,9 @@
 	if ok && existing.newerThan(&t) {
 		return false
 	}
+	if (!ok || existing.Started != t.Started) && s.ignoreLate(&t) {
+		return false
+	}
 	if ok && existing.Started == t.Started {
 		t.Draining = t.Draining || existing.Draining
 		t.Weights = max(t.Weights, existing.Weights)
@@ -344,6 +355,31 @@
 	return false
 }
 
+// ignoreLate reports whether a heartbeat of an incarnation that is not registered may have
+// been sent before the target deregistered itself, and counts it then.
+func (s *State) ignoreLate(t *Target) bool {
+	i := s.lastDeparture(t.ID)
+	if i < 0 || t.Started <= 0 {
+		return false
+	}
+	d := &s.Departed[i]
+	if t.Started > d.Left || d.LateHeartbeats >= maxLateHeartbeats {
+		return false
+	}
+	d.LateHeartbeats++
+	return true
+}
+
+// lastDeparture returns the index of the latest departure of a target, or -1.
+func (s *State) lastDeparture(id string) int {
+	for i := len(s.Departed) - 1; i >= 0; i-- {
+		if s.Departed[i].ID == id {
+			return i
+		}
+	}
+	return -1
+}
+
 // removeReplaced removes an older target that is registered at the address of t.
 // It returns false if the registered target is newer than t, which means that the
 // heartbeat of t was delayed.
@@ -372,20 +408,33 @@
 	return s.byAddress
 }
 
-func (s *State) deregister(index uint64, id string) bool {
-	if _, ok := s.Targets[id]; !ok {
-		return false
-	}
-	s.remove(index, id)
-	return true
+// deregister removes a target that leaves. Its first heartbeat may still be on its way, so
+// that the departure of an unknown target is recorded too.
+func (s *State) deregister(index uint64, now time.Time, id string) bool {
+	_, ok := s.Targets[id]
+	i := s.lastDeparture(id)
+	switch {
+	case ok:
+		s.remove(index, id)
+		i = len(s.Departed) - 1
+	case i < 0:
+		s.addDeparture(Departure{ID: id, Started: unknownStart, Revision: index})
+		i = len(s.Departed) - 1
+	}
+	s.Departed[i].Left, s.Departed[i].LateHeartbeats = now.UnixMilli(), 0
+	return ok
 }
 
 // remove removes a target and records its departure.
 func (s *State) remove(index uint64, id string) {
 	s.UrgentRevision = index
-	s.Departed = append(s.Departed, Departure{ID: id, Started: s.Targets[id].Started, Revision: index})
+	s.addDeparture(Departure{ID: id, Started: s.Targets[id].Started, Revision: index})
 	delete(s.addresses(), s.Targets[id].Address)
 	delete(s.Targets, id)
+}
+
+func (s *State) addDeparture(d Departure) {
+	s.Departed = append(s.Departed, d)
 	if extra := len(s.Departed) - maxDepartures; extra > 0 {
 		s.Departed = append([]Departure(nil), s.Departed[extra:]...)
 	}
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -58,6 +58,73 @@
 	}
 }
 
+// applyAt applies a command at the next log index, with the leader's time in Unix
+// milliseconds.
+func applyAt(registry *Registry, ms int64, c Command) {
+	registry.Apply(registry.Current().Revision+1, time.UnixMilli(ms), c.Encode())
+}
+
+// Guards against requests to a target that has left: the first heartbeat of its
+// incarnation may arrive after its deregistration.
+func TestFirstHeartbeatAfterDeregistrationIsIgnored(t *testing.T) {
+	const started, left = 1000, 5000
+	for name, before := range map[string]func(*Registry){
+		"unknown ID":                 func(*Registry) {},
+		"earlier incarnation":        func(r *Registry) { announce(t, r, newTarget("a", "10.0.0.1:80", started-500)) },
+		"deregistered twice":         func(r *Registry) { applyAt(r, left, Command{Leave: "a"}) },
+		"earlier incarnation gone":   func(r *Registry) { applyAt(r, started-1, Command{Leave: "a"}) },
+		"another target has left":    func(r *Registry) { applyAt(r, left, Command{Leave: "b"}) },
+		"address of another":         func(r *Registry) { announce(t, r, newTarget("b", "10.0.0.1:80", started-1)) },
+		"snapshot of an empty state": func(r *Registry) { restoreSnapshot(t, r) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			registry := NewRegistry()
+			before(registry)
+			applyAt(registry, left, Command{Leave: "a"})
+			restoreSnapshot(t, registry)
+			announce(t, registry, newTarget("a", "10.0.0.1:80", started))
+			if _, ok := registry.Current().Targets["a"]; ok {
+				t.Error("the target that has left is registered")
+			}
+			announce(t, registry, newTarget("a", "10.0.0.1:80", left+1))
+			if _, ok := registry.Current().Targets["a"]; !ok {
+				t.Error("the restarted target is not registered")
+			}
+		})
+	}
+}
+
+func restoreSnapshot(t *testing.T, r *Registry) {
+	t.Helper()
+	data, err := r.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a restarted target that stays unregistered because its clock is behind
+// that of the leader.
+func TestRestartedTargetWithASlowClockIsRegisteredSoon(t *testing.T) {
+	registry := NewRegistry()
+	applyAt(registry, 5000, Command{Leave: "a"})
+	for range maxLateHeartbeats {
+		if target := newTarget("a", "10.0.0.1:80", 4000); registry.IsUpToDate(target) {
+			t.Fatal("the heartbeat would not be committed")
+		}
+		announce(t, registry, newTarget("a", "10.0.0.1:80", 4000))
+	}
+	if len(registry.Current().Targets) != 0 {
+		t.Error("the target is registered at once")
+	}
+	announce(t, registry, newTarget("a", "10.0.0.1:80", 4000))
+	if len(registry.Current().Targets) != 1 {
+		t.Errorf("the target is not registered after %d heartbeats", maxLateHeartbeats+1)
+	}
+}
+
 // Guards against reordered heartbeats: an older one must neither clear draining
 // nor lower the version of the weights.
 func TestDrainingAndWeightsNeverRevertWithinIncarnation(t *testing.T) {
