--- a/internal/ratelimit/shares_test.go
+++ b/internal/ratelimit/shares_test.go
@@ -205,7 +205,8 @@
 // Guards against a refund that counts twice: once for the charge that leaves the window,
 // and once more for the later part of the window to which it was credited.
 func TestRefundCountsInThePartOfTheWindowThatWasCharged(t *testing.T) {
-	const refundAfter, again = 5 * time.Second, 8700 * time.Millisecond
+	// At chargeLeft the slot of the first charges has left the window of 8 s.
+	const refundAfter, chargeLeft = 5 * time.Second, 8700 * time.Millisecond
 	admitAll := func(s *ShareLimiter, now time.Duration) (tokens float64) {
 		s.ApplyGrants(now, now, 1, map[string]ShareGrant{"w": {Fraction: 1}}, func(string) (float64, float64) { return testRate, testBurst })
 		for {
@@ -223,9 +224,9 @@
 	if ran < notRun {
 		t.Errorf("%.0f tokens were admitted after a refund of %.0f", ran, notRun)
 	}
-	ran += admitAll(s, again)
+	ran += admitAll(s, chargeLeft)
 	if limit := testOvershoot.windowLimit(testRate, testBurst); ran > limit {
-		t.Errorf("%.0f tokens ran in %v, limit %.0f", ran, again-refundAfter, limit)
+		t.Errorf("%.0f tokens ran in %v, limit %.0f", ran, chargeLeft-refundAfter, limit)
 	}
 }
 
