Log connections to callers that are closed before a request is answered

The front now counts closed connections by cause (caller, server, limit, stop) and logs those with a request that was read in part or in whole, or whose bytes had arrived, with the phase, its age and limit, the document that set the limit, and the age of the connection. An idle connection is closed for writing first, so that a request that crosses the close is seen as well.

--- a/internal/adapter/sockopt/sockopt.go
+++ b/internal/adapter/sockopt/sockopt.go
@@ -25,3 +25,18 @@
 		return errors.CombineErrors(err, optionErr)
 	}
 }
+
+// UnreadBytes returns the number of bytes that have arrived on a connection and were not
+// read; 0 if it cannot be determined.
+func UnreadBytes(conn syscall.Conn) int {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	unread := 0
+	controlErr := raw.Control(func(fd uintptr) { unread, err = unix.IoctlGetInt(int(fd), unix.SIOCINQ) })
+	if controlErr != nil || err != nil {
+		return 0
+	}
+	return unread
+}
--- a/internal/edge/acceptwatch.go
+++ b/internal/edge/acceptwatch.go
@@ -24,8 +24,7 @@
 // acceptWatch is a listener for callers that counts the connections that it accepts.
 type acceptWatch struct {
 	net.Listener
-	// limits returns the time limits of connections.
-	limits   func() callerLimits
+	conns    *callerConns
 	accepted atomic.Int64
 }
 
@@ -37,7 +36,7 @@
 	}
 	w.accepted.Add(1)
 	if tcp, ok := conn.(*net.TCPConn); ok {
-		return newCallerConn(tcp, w.limits), nil
+		return w.conns.accept(tcp), nil
 	}
 	return conn, nil
 }
--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -77,7 +77,9 @@
 	pool       *targetconn.Pool
 	counters   *metrics.Set
 	handler    *proxy.Handler
-	client     *http.Client
+	// callers are the connections to callers.
+	callers *callerConns
+	client  *http.Client
 	// incarnation identifies this run of the process: its start in Unix
 	// milliseconds.
 	incarnation int64
@@ -160,6 +162,7 @@
 		registry:     fleet.NewState(),
 		synced:       make(chan struct{}),
 	}
+	f.callers = &callerConns{limits: f.callerLimits, logger: f.logger, counters: f.counters, stopping: f.stop.stopping}
 	f.placer.OnNotice = f.logNotice
 	for _, reason := range []placement.PassReason{placement.PassDraining, placement.PassPaused, placement.PassLimited} {
 		f.counters.Gauge("targets_passed_over_"+reason.String(), func() any { return f.placer.PassedOver(reason) })
@@ -249,7 +252,7 @@
 	case <-ctx.Done():
 	}
 	server := f.newServer()
-	watch := &acceptWatch{Listener: listener, limits: f.callerLimits}
+	watch := &acceptWatch{Listener: listener, conns: f.callers}
 	go serveUntilClosed(f.logger, server, watch)
 	<-ctx.Done()
 	stopStarted := time.Now()
@@ -270,7 +273,7 @@
 // connections, and the handler limits the headers.
 func (f *Front) newServer() *http.Server {
 	return &http.Server{
-		Handler: f.handler, MaxHeaderBytes: maxReadHeaderBytes, ConnState: trackCallerConn,
+		Handler: f.handler, MaxHeaderBytes: maxReadHeaderBytes, ConnState: f.callers.trackState,
 		ErrorLog: zap.NewStdLog(f.logger),
 	}
 }
@@ -282,6 +285,7 @@
 	if table == nil {
 		return limits
 	}
+	limits.document = table.Document.Version
 	if timeout := table.Document.Limits.HeaderTimeout; timeout > 0 {
 		limits.header = timeout
 	}
