Apply a raised idle timeout to connections that are idle

What callers saw: beside a document that raises the idle timeout, a request on a kept connection ends without an answer. The timer of the connection was set when it became idle, and a new document did not move it, so the front closed connections that their callers still kept to the limit in force.

The front now extends the wait of open connections when a document raises a limit; a lower limit applies from the next wait on, as the caller may rely on the one before. A time limit ends the wait through the goroutine that reads: a request that has arrived by then is served, where the timer closed the connection under it. The connections have a package of their own, httpconn.

--- /dev/null
+++ b/internal/adapter/httpconn/conn.go
@@ -0,0 +1,248 @@
+// Package httpconn keeps the connections of an HTTP server whose time limits change while
+// it runs, and ends the server without losing a request that has arrived.
+package httpconn
+
+import (
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cuminwing/cuminwing/internal/adapter/sockopt"
+)
+
+// lingerTime is how long the socket of a connection is kept after its close, so that a
+// request that crossed the close is counted. It exceeds a round trip.
+const lingerTime = 200 * time.Millisecond
+
+// phase is what a connection waits for.
+type phase uint8
+
+const (
+	// phaseIdle means that no byte of the next request has been read.
+	phaseIdle phase = iota
+	// phaseHeader means that a part of the headers has been read.
+	phaseHeader
+	// phaseServed means that a request is being served.
+	phaseServed
+)
+
+func (p phase) String() string { return [...]string{"idle", "headers", "served"}[p] }
+
+// closeCause is why a connection was closed.
+type closeCause uint8
+
+const (
+	// closedByClient means that the client has closed or reset the connection.
+	closedByClient closeCause = iota
+	// closedByServer means that the server ended the connection: after a response that
+	// announced it, or after a handler that did not complete its response.
+	closedByServer
+	// closedByLimit means that the time limit of a phase has passed.
+	closedByLimit
+	// closedByStop means that the process stops.
+	closedByStop
+)
+
+func (c closeCause) String() string { return [...]string{"client", "server", "limit", "stop"}[c] }
+
+// conn is a connection that keeps to the limits of its Tracker. The limits of http.Server
+// cannot be changed while it runs.
+type conn struct {
+	*net.TCPConn
+	tracker *Tracker
+
+	mu    sync.Mutex
+	phase phase
+	timer *time.Timer
+	// openedAt is when the connection was accepted, phaseStarted when its phase began.
+	openedAt     time.Time
+	phaseStarted time.Time
+	// limit is that of the present phase, set by the given version of the document.
+	limit    time.Duration
+	document uint64
+	// requests counts the requests whose first byte has been read.
+	requests int
+	// answered is set once a byte of the response to the present request is written.
+	answered bool
+	// ending is set once the connection is to be closed while it waits for a request; cause
+	// is then the reason. The next read closes it, unless a request has arrived.
+	ending bool
+	cause  closeCause
+	closed bool
+}
+
+// expire ends the connection if it still waits for a request.
+func (c *conn) expire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseServed || c.limit <= 0 {
+		return
+	}
+	if left := time.Until(c.phaseStarted.Add(c.limit)); left > 0 {
+		c.timer.Reset(left)
+		return
+	}
+	c.endWait(closedByLimit)
+}
+
+// endWait wakes the read that waits for a request, so that it closes the connection. The
+// goroutine that reads decides, as only it knows whether a request has arrived. The caller
+// must hold mu.
+func (c *conn) endWait(cause closeCause) {
+	if c.closed || c.phase == phaseServed {
+		return
+	}
+	c.ending, c.cause = true, cause
+	// It fails only on a closed connection.
+	_ = c.TCPConn.SetReadDeadline(time.Now())
+}
+
+// enter begins a phase that lasts for limit at most; 0 is no limit. The caller must hold mu.
+func (c *conn) enter(next phase, limit time.Duration, document uint64) {
+	c.phase, c.phaseStarted, c.limit, c.document = next, time.Now(), limit, document
+	c.timer.Stop()
+	if limit > 0 {
+		c.timer.Reset(limit)
+	}
+}
+
+// resume takes back endWait, because a request has arrived. The caller must hold mu.
+func (c *conn) resume() {
+	if c.ending {
+		c.ending = false
+		_ = c.TCPConn.SetReadDeadline(time.Time{})
+	}
+}
+
+// Read implements net.Conn. The first byte of a request starts the time for its headers.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	for n == 0 && c.requestArrived(err) {
+		n, err = c.TCPConn.Read(b)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case n > 0 && c.phase == phaseIdle:
+		c.resume()
+		c.requests++
+		c.answered = false
+		limits := c.tracker.Limits()
+		c.enter(phaseHeader, limits.Header, limits.Document)
+	case err != nil && !c.ending && !errors.Is(err, os.ErrDeadlineExceeded):
+		c.cause = closedByClient
+	}
+	return n, err
+}
+
+// requestArrived reports whether a read that ended with err because the connection is to be
+// closed finds a request nevertheless. A read past its deadline returns no bytes, even if
+// there are any.
+func (c *conn) requestArrived(err error) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ending || c.phase != phaseIdle || !errors.Is(err, os.ErrDeadlineExceeded) || sockopt.UnreadBytes(c.TCPConn) == 0 {
+		return false
+	}
+	c.resume()
+	return true
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.TCPConn.Write(b)
+	if n > 0 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.answered = true
+	}
+	return n, err
+}
+
+// Close implements net.Conn. The server closes a connection in this way.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return net.ErrClosed
+	}
+	c.closed = true
+	c.timer.Stop()
+	c.tracker.recordClose(c, sockopt.UnreadBytes(c.TCPConn))
+	if !c.ending || c.phase != phaseIdle {
+		c.tracker.remove(c)
+		return c.TCPConn.Close()
+	}
+	time.AfterFunc(lingerTime, c.finishClose)
+	return c.TCPConn.CloseWrite()
+}
+
+// finishClose closes the socket of a connection whose client has been told that no
+// response follows.
+func (c *conn) finishClose() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if unread := sockopt.UnreadBytes(c.TCPConn); unread > 0 {
+		c.tracker.recordCrossing(c, unread)
+	}
+	c.tracker.remove(c)
+	// The connection has ended; there is nobody to tell.
+	_ = c.TCPConn.Close()
+}
+
+// setState follows the state that the server reports.
+func (c *conn) setState(state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch state {
+	case http.StateActive:
+		c.resume()
+		c.cause = closedByServer
+		c.enter(phaseServed, 0, 0)
+	case http.StateIdle:
+		limits := c.tracker.Limits()
+		c.enter(phaseIdle, limits.Idle, limits.Document)
+	case http.StateClosed, http.StateHijacked:
+		c.timer.Stop()
+	}
+}
+
+// raiseLimit extends the wait for a request if the limits allow more time than those under
+// which the phase began. A lower limit applies from the next phase on: the client may rely
+// on the one that was in force.
+func (c *conn) raiseLimit(limits Limits) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	limit := limits.Header
+	if c.phase == phaseIdle && c.requests > 0 {
+		limit = limits.Idle
+	}
+	if c.phase == phaseServed || c.closed || c.ending || c.limit <= 0 || limit > 0 && limit <= c.limit {
+		return
+	}
+	c.limit, c.document = limit, limits.Document
+	c.timer.Stop()
+	if limit > 0 {
+		c.timer.Reset(time.Until(c.phaseStarted.Add(limit)))
+	}
+}
+
+// stop ends the connection if it waits for its next request.
+func (c *conn) stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseIdle {
+		c.endWait(closedByStop)
+	}
+}
+
+// busy reports whether a request is being read or served.
+func (c *conn) busy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.closed && c.phase != phaseIdle
+}
--- /dev/null
+++ b/internal/adapter/httpconn/conn_test.go
@@ -0,0 +1,88 @@
+package httpconn
+
+import (
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// pair returns a tracked connection and its client's end.
+func pair(t *testing.T, tracker *Tracker) (*conn, net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	client, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = client.Close() })
+	accepted, err := tracker.Listen(listener).Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := accepted.(*conn)
+	t.Cleanup(func() { _ = c.TCPConn.Close() })
+	_ = client.SetDeadline(time.Now().Add(5 * time.Second))
+	return c, client
+}
+
+func newTestTracker(limits Limits, crossed *atomic.Int64) *Tracker {
+	return &Tracker{Limits: func() Limits { return limits }, Logger: zap.NewNop(), Count: func(name string) {
+		if name == "requests_crossed_close_by_stop" {
+			crossed.Add(1)
+		}
+	}}
+}
+
+// Guards against a request that has arrived in time and is dropped, because its connection
+// is ended before the process has read it.
+func TestRequestThatHasArrivedIsReadAlthoughItsConnectionEnds(t *testing.T) {
+	var crossed atomic.Int64
+	for name, end := range map[string]func(*conn){
+		"stop":  (*conn).stop,
+		"limit": func(c *conn) { c.mu.Lock(); c.endWait(closedByLimit); c.mu.Unlock() },
+	} {
+		c, client := pair(t, newTestTracker(Limits{Header: time.Minute}, &crossed))
+		const request = "GET / HTTP/1.1\r\n"
+		if _, err := client.Write([]byte(request)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(50 * time.Millisecond)
+		end(c)
+		buffer := make([]byte, len(request))
+		if n, err := c.Read(buffer); err != nil || n != len(request) || c.ending {
+			t.Errorf("%s: read %d bytes, error %v, ending %v; want the request", name, n, err, c.ending)
+		}
+	}
+}
+
+// Guards against a connection that stays open after its end, and against requests that
+// cross the close and leave no trace.
+func TestIdleConnectionEndsAndCountsARequestThatCrossesTheClose(t *testing.T) {
+	var crossed atomic.Int64
+	tracker := newTestTracker(Limits{Header: time.Minute}, &crossed)
+	c, client := pair(t, tracker)
+	c.stop()
+	if n, err := c.Read(make([]byte, 1)); n != 0 || err == nil {
+		t.Fatalf("read %d bytes, error %v; want the end", n, err)
+	}
+	_ = c.Close()
+	if n, err := client.Read(make([]byte, 1)); n != 0 || err == nil {
+		t.Errorf("the client reads %d bytes, error %v; want the end", n, err)
+	}
+	if _, err := client.Write([]byte("GET")); err != nil {
+		t.Fatal(err)
+	}
+	for deadline := time.Now().Add(10 * lingerTime); len(tracker.connections()) > 0 && time.Now().Before(deadline); {
+		time.Sleep(drainPollInterval)
+	}
+	if left := len(tracker.connections()); left > 0 || crossed.Load() != 1 {
+		t.Errorf("%d connections are open and %d requests crossed the close, want 0 and 1", left, crossed.Load())
+	}
+}
--- /dev/null
+++ b/internal/adapter/httpconn/tracker.go
@@ -0,0 +1,135 @@
+package httpconn
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// Limits are the time limits of connections; 0 is no limit.
+type Limits struct {
+	// Header limits the time to read the headers of a request, and the time from the start
+	// of a connection to the first byte of its first request.
+	Header time.Duration
+	// Idle limits the time between a response and the first byte of the next request.
+	Idle time.Duration
+	// Document is the version of the document that sets the limits; 0 if there is none.
+	Document uint64
+}
+
+// Tracker keeps the connections of one server. Limits, Logger and Count must be set.
+type Tracker struct {
+	// Limits returns the limits in force.
+	Limits func() Limits
+	Logger *zap.Logger
+	// Count adds 1 to a counter.
+	Count func(name string)
+
+	accepted atomic.Int64
+	draining atomic.Bool
+	mu       sync.Mutex
+	open     map[*conn]struct{}
+}
+
+// Listen returns a listener whose connections the Tracker keeps.
+func (t *Tracker) Listen(listener net.Listener) net.Listener { return &trackedListener{listener, t} }
+
+type trackedListener struct {
+	net.Listener
+	tracker *Tracker
+}
+
+// Accept implements net.Listener.
+func (l *trackedListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.tracker.accepted.Add(1)
+	if tcp, ok := accepted.(*net.TCPConn); ok {
+		return l.tracker.add(tcp), nil
+	}
+	return accepted, nil
+}
+
+func (t *Tracker) add(tcp *net.TCPConn) *conn {
+	c := &conn{TCPConn: tcp, tracker: t, openedAt: time.Now()}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	limits := t.Limits()
+	c.timer = time.AfterFunc(limits.Header, c.expire)
+	c.enter(phaseIdle, limits.Header, limits.Document)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.open == nil {
+		t.open = make(map[*conn]struct{})
+	}
+	t.open[c] = struct{}{}
+	return c
+}
+
+func (t *Tracker) remove(c *conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.open, c)
+}
+
+// connections returns the open connections.
+func (t *Tracker) connections() []*conn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := make([]*conn, 0, len(t.open))
+	for c := range t.open {
+		list = append(list, c)
+	}
+	return list
+}
+
+// ConnState is the ConnState function of the server.
+func (t *Tracker) ConnState(nc net.Conn, state http.ConnState) {
+	if c, ok := nc.(*conn); ok {
+		c.setState(state)
+	}
+}
+
+// LimitsChanged applies limits that have been raised to the connections that are open.
+func (t *Tracker) LimitsChanged() {
+	limits := t.Limits()
+	for _, c := range t.connections() {
+		c.raiseLimit(limits)
+	}
+}
+
+// recordClose counts the end of a connection, and logs it if a request gets no answer: one
+// of which a part was read, or whose bytes had arrived and were not read. The caller must
+// hold the lock of c.
+func (t *Tracker) recordClose(c *conn, unread int) {
+	t.Count("connections_closed_by_" + c.cause.String())
+	pending := c.phase == phaseHeader || c.phase == phaseServed && !c.answered || c.phase == phaseIdle && unread > 0
+	if !pending {
+		return
+	}
+	t.Count("requests_unanswered_by_" + c.cause.String())
+	t.Logger.Info("connection closed before a request on it was answered", append(t.connFields(c), zap.Int("unread_bytes", unread))...)
+}
+
+// recordCrossing logs a request that has arrived on a connection after its close. The
+// caller must hold the lock of c.
+func (t *Tracker) recordCrossing(c *conn, bytes int) {
+	t.Count("requests_crossed_close_by_" + c.cause.String())
+	t.Logger.Info("request arrived on a connection that was being closed", append(t.connFields(c), zap.Int("unread_bytes", bytes))...)
+}
+
+// connFields returns the log fields that explain why a connection was closed. The caller
+// must hold the lock of c.
+func (t *Tracker) connFields(c *conn) []zap.Field {
+	return []zap.Field{
+		zap.String("client", c.RemoteAddr().String()), zap.Stringer("cause", c.cause), zap.Stringer("phase", c.phase),
+		zap.Duration("phase_age", time.Since(c.phaseStarted)), zap.Duration("phase_limit", c.limit), zap.Uint64("document", c.document),
+		zap.Duration("connection_age", time.Since(c.openedAt)), zap.Int("requests", c.requests), zap.Bool("draining", t.draining.Load()),
+	}
+}
--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cuminwing/cuminwing/internal/adapter/boottime"
+	"github.com/cuminwing/cuminwing/internal/adapter/httpconn"
 	"github.com/cuminwing/cuminwing/internal/adapter/metrics"
 	"github.com/cuminwing/cuminwing/internal/adapter/targetconn"
 	"github.com/cuminwing/cuminwing/internal/fleet"
@@ -78,7 +79,7 @@
 	counters   *metrics.Set
 	handler    *proxy.Handler
 	// callers are the connections to callers.
-	callers *callerConns
+	callers *httpconn.Tracker
 	client  *http.Client
 	// incarnation identifies this run of the process: its start in Unix
 	// milliseconds.
@@ -162,7 +163,10 @@
 		registry:     fleet.NewState(),
 		synced:       make(chan struct{}),
 	}
-	f.callers = &callerConns{limits: f.callerLimits, logger: f.logger, counters: f.counters, stopping: f.stop.stopping}
+	f.callers = &httpconn.Tracker{
+		Limits: f.callerLimits, Logger: f.logger,
+		Count: func(name string) { f.counters.Add("caller_"+name, 1) },
+	}
 	f.placer.OnNotice = f.logNotice
 	for _, reason := range []placement.PassReason{placement.PassDraining, placement.PassPaused, placement.PassLimited} {
 		f.counters.Gauge("targets_passed_over_"+reason.String(), func() any { return f.placer.PassedOver(reason) })
@@ -252,14 +256,13 @@
 	case <-ctx.Done():
 	}
 	server := f.newServer()
-	watch := &acceptWatch{Listener: listener, conns: f.callers}
-	go serveUntilClosed(f.logger, server, watch)
+	go serveUntilClosed(f.logger, server, f.callers.Listen(listener))
 	<-ctx.Done()
 	stopStarted := time.Now()
 	f.stop.begin(stopStarted)
 	f.logger.Info("front stops", zap.String("reason", "signal"))
 	acceptCtx, stopAccepting := context.WithDeadline(context.Background(), stopStarted.Add(f.stop.maxListenTime()))
-	watch.awaitQuiet(acceptCtx, stopStarted.Add(f.stop.minListenTime()))
+	f.callers.AwaitQuiet(acceptCtx, stopStarted.Add(f.stop.minListenTime()))
 	stopAccepting()
 	drainCtx, cancel := context.WithDeadline(context.Background(), f.stop.connectionsEnd())
 	defer cancel()
@@ -273,24 +276,24 @@
 // connections, and the handler limits the headers.
 func (f *Front) newServer() *http.Server {
 	return &http.Server{
-		Handler: f.handler, MaxHeaderBytes: maxReadHeaderBytes, ConnState: f.callers.trackState,
+		Handler: f.handler, MaxHeaderBytes: maxReadHeaderBytes, ConnState: f.callers.ConnState,
 		ErrorLog: zap.NewStdLog(f.logger),
 	}
 }
 
 // callerLimits returns the limits of the document in force.
-func (f *Front) callerLimits() callerLimits {
-	limits := callerLimits{header: defaultHeaderTimeout, idle: defaultIdleTimeout + idleTimeoutMargin}
+func (f *Front) callerLimits() httpconn.Limits {
+	limits := httpconn.Limits{Header: defaultHeaderTimeout, Idle: defaultIdleTimeout + idleTimeoutMargin}
 	table := f.state.Load().Table
 	if table == nil {
 		return limits
 	}
-	limits.document = table.Document.Version
+	limits.Document = table.Document.Version
 	if timeout := table.Document.Limits.HeaderTimeout; timeout > 0 {
-		limits.header = timeout
+		limits.Header = timeout
 	}
 	if timeout := table.Document.Limits.IdleTimeout; timeout > 0 {
-		limits.idle = timeout + idleTimeoutMargin
+		limits.Idle = timeout + idleTimeoutMargin
 	}
 	return limits
 }
--- a/internal/edge/frontsync.go
+++ b/internal/edge/frontsync.go
@@ -193,7 +193,8 @@
 	confirmed := min(poll.sentAt+fromMilliseconds(response.GetConfirmedAfterMs()), boottime.Now())
 	next.Confirmed = max(next.Confirmed, confirmed)
 	f.peers.update(response.GetPeers(), response.GetPeersVersion())
-	if table != next.Table {
+	documentChanged := table != next.Table
+	if documentChanged {
 		next.Table = table
 		f.logger.Info("document in force", zap.Uint64("version", table.Document.Version))
 	} else if registry == f.registry && !f.weightsPending && slices.Equal(response.GetUnreachableStores(), f.unreachableStores) {
@@ -207,6 +208,9 @@
 	next.Weights = registry.Weights
 	f.updatePlacement(table, next.FrontCount)
 	f.state.Store(&next)
+	if documentChanged {
+		f.callers.LimitsChanged()
+	}
 	f.applyShares(next, poll)
 	return nil
 }
--- a/internal/edge/limits_test.go
+++ b/internal/edge/limits_test.go
@@ -113,6 +113,23 @@
 	}
 }
 
+// Guards against an idle connection that is closed by the limit under which it became idle,
+// while its caller keeps to the higher limit of the document that is in force.
+func TestRaisedIdleTimeoutCoversConnectionsThatAreIdle(t *testing.T) {
+	const short, long = 500 * time.Millisecond, 6 * time.Second
+	address, change := startLimitedFront(t, gatewayconfig.Limits{IdleTimeout: short})
+	conn := dialFront(t, address)
+	if status, err := exchangeOn(conn, 0); status != http.StatusOK {
+		t.Fatalf("first request: status %d, error %v", status, err)
+	}
+	idleSince := time.Now()
+	change(gatewayconfig.Limits{IdleTimeout: long})
+	time.Sleep(time.Until(idleSince.Add(long * 4 / 5)))
+	if status, err := exchangeOn(conn, 0); status != http.StatusOK {
+		t.Errorf("request after four fifths of the raised limit: status %d, error %v", status, err)
+	}
+}
+
 // Guards against headers that trickle and keep their connection, and against a body that
 // is cut off by the time limit of the headers.
 func TestTimeLimitOfHeadersCoversOnlyTheHeaders(t *testing.T) {
