Answer every request that arrives while a front stops

What callers saw: around planned stops, requests that the front had received completely got neither an answer nor a refusal, and hundreds of others found a closed listener although the process lived on for seconds.

The front now drains its connections itself: the listener and kept connections serve requests, or refuse them truly, until nothing is in progress and no connection arrives any more, at the latest until the end of the requests. An idle connection is then ended by the goroutine that reads it.

--- a/internal/adapter/httpconn/drain.go
+++ b/internal/adapter/httpconn/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/cuminwing/cuminwing/internal/pause"
@@ -19,14 +20,49 @@
 	quietPolls = int(quietAcceptTime / drainPollInterval)
 )
 
-// AwaitQuiet blocks until no connection has arrived for quietAcceptTime,
-// and at least until notBefore. It returns at once when ctx is done.
-func (t *Tracker) AwaitQuiet(ctx context.Context, notBefore time.Time) {
+// Drain ends a server that has been told to stop. Until notBefore, and as long as clients
+// open connections or requests are served, the listener stays open and every request is
+// served. It then closes the listener and the idle connections, and returns when all
+// connections are closed. It returns early, with the error of ctx, when ctx is done.
+//
+// http.Server.Shutdown is no substitute: it closes idle connections with requests on their
+// way to them, and drops requests that have been read while it runs.
+func (t *Tracker) Drain(ctx context.Context, listener net.Listener, notBefore time.Time) error {
+	t.draining.Store(true)
+	t.awaitQuiet(ctx, notBefore)
+	// An error means that it is closed already.
+	_ = listener.Close()
+	for ctx.Err() == nil {
+		open := t.connections()
+		if len(open) == 0 {
+			return nil
+		}
+		for _, c := range open {
+			c.stop()
+		}
+		pause.For(ctx, drainPollInterval)
+	}
+	return ctx.Err()
+}
+
+// awaitQuiet blocks until no connection has arrived for quietAcceptTime and no request is
+// in progress, and at least until notBefore. It returns at once when ctx is done.
+func (t *Tracker) awaitQuiet(ctx context.Context, notBefore time.Time) {
 	known, quiet := t.accepted.Load(), 0
-	for (quiet < quietPolls || time.Now().Before(notBefore)) && pause.For(ctx, drainPollInterval) {
+	for (quiet < quietPolls || time.Now().Before(notBefore) || t.busy()) && pause.For(ctx, drainPollInterval) {
 		quiet++
 		if accepted := t.accepted.Load(); accepted != known {
 			known, quiet = accepted, 0
 		}
 	}
 }
+
+// busy reports whether a request is being read or served on any connection.
+func (t *Tracker) busy() bool {
+	for _, c := range t.connections() {
+		if c.busy() {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -261,15 +261,12 @@
 	stopStarted := time.Now()
 	f.stop.begin(stopStarted)
 	f.logger.Info("front stops", zap.String("reason", "signal"))
-	acceptCtx, stopAccepting := context.WithDeadline(context.Background(), stopStarted.Add(f.stop.maxListenTime()))
-	f.callers.AwaitQuiet(acceptCtx, stopStarted.Add(f.stop.minListenTime()))
-	stopAccepting()
 	drainCtx, cancel := context.WithDeadline(context.Background(), f.stop.connectionsEnd())
 	defer cancel()
-	if err := server.Shutdown(drainCtx); err != nil {
-		f.logger.Warn("grace period ended with requests in flight; closing their connections", zap.Error(err))
-		_ = server.Close()
+	if err := f.callers.Drain(drainCtx, listener, stopStarted.Add(f.stop.minListenTime())); err != nil {
+		f.logger.Warn("grace period ended with open connections; closing them", zap.Error(err))
 	}
+	_ = server.Close()
 }
 
 // newServer returns the HTTP server for callers. The time limits are those of its
--- a/internal/edge/net.go
+++ b/internal/edge/net.go
@@ -28,9 +28,10 @@
 	return config.Listen(context.Background(), "tcp", address)
 }
 
-// serveUntilClosed runs a server and logs any error other than its shutdown.
+// serveUntilClosed runs a server and logs any error other than the close of the server or
+// its listener.
 func serveUntilClosed(logger *zap.Logger, s *http.Server, l net.Listener) {
-	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		logger.Error("server stopped unexpectedly", zap.String("address", l.Addr().String()), zap.Error(err))
 	}
 }
