End idle connections in time although connections still arrive

What callers see: a front that gets new connections until the end of its grace period cuts all idle connections at once, also under requests on their way, and the callers get a reset instead of an end that is announced.

Cause: the drain waited for the last connection and the last request up to the deadline at which the connections are closed (connectionsEnd), and left no time to end the idle ones. A single caller that does not read its response, or that sends a part of its headers, is enough for that as well.

The wait now ends when the requests in flight are ended (requestsEnd), so the idle connections are ended by the goroutines that read them, in the time that is left for the last responses.

TestIdleConnectionsEndInTimeAlthoughConnectionsStillArrive failed before (context deadline exceeded, the client reads no end) and passes.

--- a/internal/adapter/httpconn/drain.go
+++ b/internal/adapter/httpconn/drain.go
@@ -21,15 +21,20 @@
 )
 
 // Drain ends a server that has been told to stop. Until notBefore, and as long as clients
-// open connections or requests are served, the listener stays open and every request is
-// served. It then closes the listener and the idle connections, and returns when all
-// connections are closed. It returns early, with the error of ctx, when ctx is done.
+// open connections or requests are served, but at most until notAfter, the listener stays
+// open and every request is served. It then closes the listener and the idle connections,
+// and returns when all connections are closed. It returns early, with the error of ctx,
+// when ctx is done. Between notAfter and the deadline of ctx there must be time to end the
+// idle connections: those that are open at the deadline are cut by their server, also under
+// a request that has arrived.
 //
 // http.Server.Shutdown is no substitute: it closes idle connections with requests on their
 // way to them, and drops requests that have been read while it runs.
-func (t *Tracker) Drain(ctx context.Context, listener net.Listener, notBefore time.Time) error {
+func (t *Tracker) Drain(ctx context.Context, listener net.Listener, notBefore, notAfter time.Time) error {
 	t.draining.Store(true)
-	t.awaitQuiet(ctx, notBefore)
+	quietCtx, cancel := context.WithDeadline(ctx, notAfter)
+	t.awaitQuiet(quietCtx, notBefore)
+	cancel()
 	// An error means that it is closed already.
 	_ = listener.Close()
 	for ctx.Err() == nil {
--- a/internal/adapter/httpconn/drain_test.go
+++ b/internal/adapter/httpconn/drain_test.go
@@ -2,8 +2,14 @@
 
 import (
 	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Guards against a front that closes its listener, and so resets the connections that wait
@@ -37,3 +43,53 @@
 		t.Errorf("the listener stays open for %v after the time for it", open)
 	}
 }
+
+// serveIdle starts a server with a tracker, and returns its listener and a connection that
+// waits for its first request.
+func serveIdle(t *testing.T, tracker *Tracker) (net.Listener, net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{ConnState: tracker.ConnState, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+	t.Cleanup(func() { _ = server.Close() })
+	go func() { _ = server.Serve(tracker.Listen(listener)) }()
+	client, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = client.Close() })
+	for tracker.accepted.Load() == 0 {
+		time.Sleep(drainPollInterval)
+	}
+	return listener, client
+}
+
+// Guards against idle connections that are cut at the deadline, also under a request that
+// has arrived, because new connections have not ceased to arrive until then.
+func TestIdleConnectionsEndInTimeAlthoughConnectionsStillArrive(t *testing.T) {
+	const untilDeadline = 2 * time.Second
+	var crossed atomic.Int64
+	tracker := newTestTracker(Limits{Header: time.Minute}, &crossed)
+	listener, client := serveIdle(t, tracker)
+	stopped := time.Now()
+	ctx, cancel := context.WithDeadline(context.Background(), stopped.Add(untilDeadline))
+	defer cancel()
+	go func() {
+		for ctx.Err() == nil {
+			tracker.accepted.Add(1)
+			time.Sleep(quietAcceptTime / 4)
+		}
+	}()
+	if err := tracker.Drain(ctx, listener, stopped, stopped.Add(untilDeadline/2)); err != nil {
+		t.Errorf("Drain ends after %v with connections open: %v", time.Since(stopped), err)
+	}
+	if open := time.Since(stopped); open < untilDeadline/2 {
+		t.Errorf("the listener closes after %v, although connections arrive", open)
+	}
+	_ = client.SetReadDeadline(time.Now().Add(time.Second))
+	if _, err := client.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("the idle client reads error %v, want the end", err)
+	}
+}
--- a/internal/edge/stopclock.go
+++ b/internal/edge/stopclock.go
@@ -15,8 +15,8 @@
 	// served even if they may last longer than this front, and the listener stays open.
 	drainDelay       = 2600 * time.Millisecond
 	maxDrainFraction = 3
-	// maxListenFraction limits how long the listener stays open while connections still
-	// arrive.
+	// maxListenFraction limits the time for which the listener stays open although no
+	// connection arrives and no request is in flight.
 	maxListenFraction = 2
 	// graceMargin is what is left when the requests in flight are ended, at most
 	// 1/maxMarginFraction. A third of it passes before the connections are closed, so that
@@ -57,8 +57,8 @@
 // stopping reports whether the signal has arrived.
 func (s *stopClock) stopping() bool { return s.started.Load() != nil }
 
-// minListenTime and maxListenTime limit the time from the signal to the close of the
-// listener.
+// minListenTime is the time from the signal to the close of the listener of a front without
+// requests, maxListenTime its limit in a short grace period.
 func (s *stopClock) minListenTime() time.Duration { return min(drainDelay, s.maxListenTime()) }
 func (s *stopClock) maxListenTime() time.Duration { return s.gracePeriod / maxListenFraction }
 
