Keep connections that are being closed out of the pool

What callers see: now and then a request fails with 502 target_failed although its engine is well; one that may run once is not tried again.

Cause: when a caller leaves, its deadline passes or the front ends, a function of its own goroutine closes the connection to the engine. If the response had just been delivered, the connection went into the pool nevertheless, the next request took it, and a close that took effect late ended it under that request.

A connection whose close has begun is now closed, never reused.

TestConnectionThatIsBeingClosedCarriesNoFurtherRequest failed before (502 target_failed for the next request) and passes.

--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -103,10 +103,12 @@
 	s := &exchange{call: c, conn: conn, choice: choice, context: ctx}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Conn.Close() })
 	result := s.roundTrip()
-	if !stop() && result != resultDelivered {
+	// If it has begun, the close may take effect at any later time.
+	closing := !stop()
+	if closing && result != resultDelivered {
 		result = resultCanceledSent
 	}
-	if s.reusableAfter == nil || !s.bodyWritten() {
+	if closing || s.reusableAfter == nil || !s.bodyWritten() {
 		_ = conn.Conn.Close()
 		return result
 	}
