End the time limit of a body with its request

Cause, found by reading: the limit of a body sets the read deadline of the caller's connection from a goroutine of its own. If it began just as the request ended, the deadline could be set after that, while the connection already waited for the next request, and the front closed it under a request that had arrived.

The end of the limit now waits for a deadline that is being set. The server clears it before it reads the next request.

--- a/internal/proxy/incoming.go
+++ b/internal/proxy/incoming.go
@@ -45,10 +45,22 @@
 	return c.r.ContentLength != 0 && c.r.Body != nil && !c.bodyEnded && c.r.Header.Get("Expect") == ""
 }
 
-// limitBodyRead ends the reads of the body once ctx is done. The returned function reports
-// false if that has happened.
+// limitBodyRead ends the reads of the body once ctx is done, until end is called. end reports
+// false if that has happened, and returns after it, as a later deadline would end the
+// connection while it waits for the next request.
 func (c *call) limitBodyRead(ctx context.Context) (end func() bool) {
-	return context.AfterFunc(ctx, func() { _ = http.NewResponseController(c.w).SetReadDeadline(time.Now()) })
+	limited := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(limited)
+		_ = http.NewResponseController(c.w).SetReadDeadline(time.Now())
+	})
+	return func() bool {
+		if stop() {
+			return true
+		}
+		<-limited
+		return false
+	}
 }
 
 // discardBody reads what the caller of a refused request still sends. The server would
