Check the key again once the body has arrived

What an operator sees: a withdrawn key still runs requests for as long as their callers take to send the bodies, up to the timeout of the route, although it stops within 5 s by the guarantee. A front that has lost the core does the same with keys that are no longer confirmed.

Cause: the request keeps the state that was in force when its headers were read, and its key was checked against that only.

The key is now checked by the present state once the body has been read, and the request goes on with that state.

TestKeyIsCheckedAgainOnceTheBodyHasArrived failed before (200 and run instead of 401 and 503) and passes.

--- a/internal/proxy/admission.go
+++ b/internal/proxy/admission.go
@@ -39,6 +39,9 @@
 	if refused := c.readBody(); refused != nil {
 		return refused
 	}
+	if refused := c.renewKey(); refused != nil {
+		return refused
+	}
 	c.service = c.route.Pick(rand.Float64())
 	if c.comesTooLate() {
 		return &errStopping
@@ -89,6 +92,17 @@
 	return nil
 }
 
+// renewKey checks the key by the state in force after a body has been read. Its caller
+// decides how long that takes, and a key that was withdrawn meanwhile must run nothing.
+func (c *call) renewKey() *refusal {
+	state := c.State()
+	if !c.bodyEnded || c.workspace == nil || state.Table == nil {
+		return nil
+	}
+	c.state = state
+	return c.authenticate()
+}
+
 // stateExpired reports whether the confirmation of the state is too old to
 // accept keys. A withdrawn key must stop working also on a VM that has lost its
 // connection to the core.
