Serve a connection that is accepted as the listener closes

Cause, found by reading: the drain closed the listener and returned as soon as no connection was tracked. A connection that the server had accepted, but not yet tracked, was not counted; the process ended and reset it with its request.

The drain now waits until the server has been told that its listener is closed. By then the last accepted connection is tracked, and it is ended like any other.

TestConnectionAcceptedAtTheCloseIsServed failed before (connection reset by peer) and passes.

--- a/internal/adapter/httpconn/drain.go
+++ b/internal/adapter/httpconn/drain.go
@@ -37,6 +37,7 @@
 	cancel()
 	// An error means that it is closed already.
 	_ = listener.Close()
+	t.awaitLastAccept(ctx)
 	for ctx.Err() == nil {
 		open := t.connections()
 		if len(open) == 0 {
@@ -62,6 +63,18 @@
 	}
 }
 
+// awaitLastAccept blocks until the connections that were accepted before the close of the
+// listener are tracked.
+func (t *Tracker) awaitLastAccept(ctx context.Context) {
+	if t.acceptEnded == nil {
+		return
+	}
+	select {
+	case <-t.acceptEnded:
+	case <-ctx.Done():
+	}
+}
+
 // busy reports whether a request is being read or served on any connection.
 func (t *Tracker) busy() bool {
 	for _, c := range t.connections() {
--- a/internal/adapter/httpconn/drain_test.go
+++ b/internal/adapter/httpconn/drain_test.go
@@ -1,10 +1,12 @@
 package httpconn
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -93,3 +95,64 @@
 		t.Errorf("the idle client reads error %v, want the end", err)
 	}
 }
+
+// lateListener returns a connection that it accepted before its close only after that, as
+// for a goroutine that is held up.
+type lateListener struct {
+	net.Listener
+	accepted net.Conn
+	closed   chan struct{}
+	once     sync.Once
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	<-l.closed
+	if conn := l.accepted; conn != nil {
+		l.accepted = nil
+		time.Sleep(5 * drainPollInterval)
+		return conn, nil
+	}
+	return nil, net.ErrClosed
+}
+
+func (l *lateListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+// Guards against a request that is cut because its connection was accepted just before the
+// listener was closed, and the drain ends before the server knows of it.
+func TestConnectionAcceptedAtTheCloseIsServed(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	client, err := net.Dial("tcp", inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	accepted, err := inner.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var crossed atomic.Int64
+	tracker := newTestTracker(Limits{Header: time.Minute}, &crossed)
+	listener := &lateListener{Listener: inner, accepted: accepted, closed: make(chan struct{})}
+	server := &http.Server{ConnState: tracker.ConnState, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+	tracked := tracker.Listen(listener)
+	go func() { _ = server.Serve(tracked) }()
+	if _, err := client.Write([]byte("GET / HTTP/1.1\r\nHost: a.example\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if err := tracker.Drain(ctx, listener, time.Now(), time.Now().Add(time.Second)); err != nil {
+		t.Errorf("Drain: %v", err)
+	}
+	_ = server.Close()
+	_ = client.SetReadDeadline(time.Now().Add(time.Second))
+	if response, err := http.ReadResponse(bufio.NewReader(client), nil); err != nil {
+		t.Errorf("response %v, error %v; want an answer", response, err)
+	}
+}
--- a/internal/adapter/httpconn/tracker.go
+++ b/internal/adapter/httpconn/tracker.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 )
 
@@ -33,19 +34,30 @@
 	draining atomic.Bool
 	mu       sync.Mutex
 	open     map[*conn]struct{}
+	// acceptEnded is closed once the listener has been closed and its last connection is
+	// tracked; nil without a listener.
+	acceptEnded chan struct{}
 }
 
-// Listen returns a listener whose connections the Tracker keeps.
-func (t *Tracker) Listen(listener net.Listener) net.Listener { return &trackedListener{listener, t} }
+// Listen returns a listener whose connections the Tracker keeps. It is called once, before
+// Drain.
+func (t *Tracker) Listen(listener net.Listener) net.Listener {
+	t.acceptEnded = make(chan struct{})
+	return &trackedListener{Listener: listener, tracker: t}
+}
 
 type trackedListener struct {
 	net.Listener
 	tracker *Tracker
+	ended   sync.Once
 }
 
 // Accept implements net.Listener.
 func (l *trackedListener) Accept() (net.Conn, error) {
 	accepted, err := l.Listener.Accept()
+	if errors.Is(err, net.ErrClosed) {
+		l.ended.Do(func() { close(l.tracker.acceptEnded) })
+	}
 	if err != nil {
 		return nil, err
 	}
