Apply a limit that is raised while a connection is accepted

Cause, found by reading: a new connection read its limit before it was in the list of connections. A document between the two passed it by, and the front closed it at the limit of the document before.

TestLimitRaisedDuringAnAcceptApplies failed before (the limit is 1m0s, want 1h0m0s) and passes.

--- a/internal/adapter/httpconn/tracker.go
+++ b/internal/adapter/httpconn/tracker.go
@@ -72,16 +72,21 @@
 	c := &conn{TCPConn: tcp, tracker: t, openedAt: time.Now()}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	// LimitsChanged must find the connection before its limits are read: it waits for mu.
+	t.insert(c)
 	limits := t.Limits()
 	c.timer = time.AfterFunc(limits.Header, c.expire)
 	c.enter(phaseIdle, limits.Header, limits.Document)
+	return c
+}
+
+func (t *Tracker) insert(c *conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.open == nil {
 		t.open = make(map[*conn]struct{})
 	}
 	t.open[c] = struct{}{}
-	return c
 }
 
 func (t *Tracker) remove(c *conn) {
