Keep the end of a wait when the server clears its read deadline

Cause, found by reading: a connection whose time limit has passed is ended through its read deadline, and net/http clears the deadline before each request that it reads. If the two crossed, in a process that was held up, the wait had no limit any more: the connection stayed open for ever, and with a part of its headers read, it kept a stop waiting.

TestEndOfAWaitOutlivesTheDeadlineOfTheServer failed before (the read goes on) and passes.

--- a/internal/adapter/httpconn/conn.go
+++ b/internal/adapter/httpconn/conn.go
@@ -118,6 +118,17 @@
 	}
 }
 
+// SetReadDeadline implements net.Conn. The server clears the deadline before it reads a
+// request, which must not take back endWait.
+func (c *conn) SetReadDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ending {
+		return nil
+	}
+	return c.TCPConn.SetReadDeadline(deadline)
+}
+
 // Read implements net.Conn. The first byte of a request starts the time for its headers.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
--- a/internal/adapter/httpconn/limits_test.go
+++ b/internal/adapter/httpconn/limits_test.go
@@ -1,10 +1,14 @@
 package httpconn
 
 import (
+	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Guards against a connection that keeps a lower limit than the one in force, because the
@@ -32,3 +36,35 @@
 		t.Errorf("the limit is %v, want %v", c.limit, after)
 	}
 }
+
+// readOne reads once, and returns what was read, or an error if it takes too long.
+func readOne(c net.Conn) (string, error) {
+	type result struct {
+		data string
+		err  error
+	}
+	done := make(chan result, 1)
+	go func() {
+		buffer := make([]byte, 64)
+		n, err := c.Read(buffer)
+		done <- result{string(buffer[:n]), err}
+	}()
+	select {
+	case r := <-done:
+		return r.data, r.err
+	case <-time.After(time.Second):
+		return "", errors.New("the read goes on")
+	}
+}
+
+// Guards against a connection that stays open for ever: the server clears the read deadline
+// before it reads, which would take back the end of the wait.
+func TestEndOfAWaitOutlivesTheDeadlineOfTheServer(t *testing.T) {
+	var crossed atomic.Int64
+	c, _ := pair(t, newTestTracker(Limits{Header: 50 * time.Millisecond}, &crossed))
+	time.Sleep(100 * time.Millisecond)
+	_ = c.SetReadDeadline(time.Time{})
+	if _, err := readOne(c); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the read ends with error %v, want %v", err, os.ErrDeadlineExceeded)
+	}
+}
