Read headers that have arrived at their time limit

Cause, found by reading: when the time for the headers of a request has passed, a read ends without the bytes that wait in the socket. A process that was held up between two parts of the headers, for example suspended, so dropped a request that had arrived completely; a request whose first byte had not been read was served.

What has arrived at the limit is now read, and no more than that, so the limit still holds for a caller that sends slowly.

TestHeadersThatHaveArrivedAreReadAtTheirLimit failed before (read nothing, i/o timeout) and passes.

--- a/internal/adapter/httpconn/conn.go
+++ b/internal/adapter/httpconn/conn.go
@@ -132,7 +132,7 @@
 // Read implements net.Conn. The first byte of a request starts the time for its headers.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
-	for n == 0 && c.requestArrived(err) {
+	for n == 0 && c.bytesArrived(err) {
 		n, err = c.TCPConn.Read(b)
 	}
 	c.mu.Lock()
@@ -144,22 +144,30 @@
 		c.answered = false
 		limits := c.tracker.Limits()
 		c.enter(phaseHeader, limits.Header, limits.Document)
+	case n > 0 && c.ending:
+		c.endWait(c.cause)
 	case err != nil && !c.ending && !errors.Is(err, os.ErrDeadlineExceeded):
 		c.cause = closedByClient
 	}
 	return n, err
 }
 
-// requestArrived reports whether a read that ended with err because the connection is to be
-// closed finds a request nevertheless. A read past its deadline returns no bytes, even if
-// there are any.
-func (c *conn) requestArrived(err error) bool {
+// bytesArrived reports whether a read that ended with err because the connection is to be
+// closed finds bytes of a request nevertheless, and lets the next read return them. A read
+// past its deadline returns no bytes, even if there are any. The first bytes of a request
+// take back the end; of headers, no more is read than has arrived.
+func (c *conn) bytesArrived(err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.ending || c.phase != phaseIdle || !errors.Is(err, os.ErrDeadlineExceeded) || sockopt.UnreadBytes(c.TCPConn) == 0 {
+	if !c.ending || !errors.Is(err, os.ErrDeadlineExceeded) || sockopt.UnreadBytes(c.TCPConn) == 0 {
 		return false
 	}
-	c.resume()
+	if c.phase == phaseIdle {
+		c.resume()
+		return true
+	}
+	// It fails only on a closed connection.
+	_ = c.TCPConn.SetReadDeadline(time.Time{})
 	return true
 }
 
--- a/internal/adapter/httpconn/limits_test.go
+++ b/internal/adapter/httpconn/limits_test.go
@@ -1,6 +1,7 @@
 package httpconn
 
 import (
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -68,3 +69,28 @@
 		t.Errorf("the read ends with error %v, want %v", err, os.ErrDeadlineExceeded)
 	}
 }
+
+// Guards against a request that has arrived completely and is dropped at the time limit of
+// its headers, because the process was held up and read only a part before.
+func TestHeadersThatHaveArrivedAreReadAtTheirLimit(t *testing.T) {
+	const limit = 100 * time.Millisecond
+	var crossed atomic.Int64
+	c, client := pair(t, newTestTracker(Limits{Header: limit}, &crossed))
+	for _, part := range []string{"GET / HTTP/1.1\r\n", "Host: a.example\r\n\r\n"} {
+		if _, err := io.WriteString(client, part); err != nil {
+			t.Fatal(err)
+		}
+		if part == "GET / HTTP/1.1\r\n" {
+			if data, err := readOne(c); data != part {
+				t.Fatalf("read %q, error %v", data, err)
+			}
+		}
+	}
+	time.Sleep(2 * limit)
+	if data, err := readOne(c); data != "Host: a.example\r\n\r\n" {
+		t.Errorf("read %q, error %v; want the rest of the headers", data, err)
+	}
+	if _, err := readOne(c); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("after the headers that have arrived: error %v, want %v", err, os.ErrDeadlineExceeded)
+	}
+}
