Close idle connections above a limit that was lowered

Cause, found by reading: the limit of idle connections to a target was applied only when a connection became idle. A document that lowers max_connections, or a front that joins, left the idle connections of before, for which the target resets those of other VMs.

TestLoweredLimitClosesIdleConnections failed before (3 idle connections are kept) and passes.

--- a/internal/adapter/targetconn/pool.go
+++ b/internal/adapter/targetconn/pool.go
@@ -194,11 +194,7 @@
 	c.expires = time.Now().Add(idleTimeout)
 	p.mu.Lock()
 	list := p.idle[c.address]
-	limit, limited := p.idleLimits[c.address]
-	if !limited {
-		limit = maxIdlePerTarget
-	}
-	keep := len(list) < min(limit, maxIdlePerTarget)
+	keep := len(list) < p.idleLimit(c.address)
 	if keep {
 		p.idle[c.address] = append(list, c)
 	}
@@ -208,6 +204,15 @@
 	}
 }
 
+// idleLimit returns how many idle connections to an address are kept. The caller must
+// hold mu.
+func (p *Pool) idleLimit(address string) int {
+	if limit, limited := p.idleLimits[address]; limited {
+		return min(limit, maxIdlePerTarget)
+	}
+	return maxIdlePerTarget
+}
+
 // idleTimeoutOf returns how long the connection may stay idle after resp.
 func idleTimeoutOf(resp *http.Response) time.Duration {
 	for _, field := range strings.Split(resp.Header.Get("Keep-Alive"), ",") {
@@ -231,8 +236,8 @@
 	p.idleLimits = limits
 }
 
-// Sweep closes idle connections that have expired or whose address is not in
-// live.
+// Sweep closes idle connections that have expired, whose address is not in live, or that
+// are more than the limit, which may have been lowered: of these, the least recently used.
 func (p *Pool) Sweep(live map[string]bool) {
 	now := time.Now()
 	var closing []*Conn
@@ -246,6 +251,10 @@
 			}
 			closing = append(closing, c)
 		}
+		if surplus := len(kept) - p.idleLimit(address); surplus > 0 {
+			closing = append(closing, kept[:surplus]...)
+			kept = append(kept[:0], kept[surplus:]...)
+		}
 		clear(list[len(kept):])
 		p.idle[address] = kept
 		if len(kept) == 0 {
--- a/internal/adapter/targetconn/pool_test.go
+++ b/internal/adapter/targetconn/pool_test.go
@@ -123,3 +123,19 @@
 		t.Errorf("the connection does not carry another request, or Get failed: %v", err)
 	}
 }
+
+// Guards against idle connections that are kept above a limit which has been lowered since,
+// and for which the target resets connections of other VMs.
+func TestLoweredLimitClosesIdleConnections(t *testing.T) {
+	address := listen(t, func(net.Conn) {})
+	p := New()
+	conns := []*Conn{get(t, p, address), get(t, p, address), get(t, p, address)}
+	for _, c := range conns {
+		p.Put(c, &http.Response{})
+	}
+	p.SetIdleLimits(map[string]int{address: 1})
+	p.Sweep(map[string]bool{address: true})
+	if left := p.TakeAllIdle(); len(left) != 1 || left[0] != conns[2] {
+		t.Errorf("%d idle connections are kept, want the one that was used last", len(left))
+	}
+}
