Record the end of a connection truly

The log and the counters of closed connections named the client for a new connection that the server had closed, and took an interim response (100 Continue) for the answer, so a request that was dropped after it left no trace.

TestCloseOfAConnectionIsRecordedTruly failed before (closed by client; no requests_unanswered) and passes.

--- a/internal/adapter/httpconn/conn.go
+++ b/internal/adapter/httpconn/conn.go
@@ -3,6 +3,7 @@
 package httpconn
 
 import (
+	"bytes"
 	"net"
 	"net/http"
 	"os"
@@ -66,7 +67,8 @@
 	document uint64
 	// requests counts the requests whose first byte has been read.
 	requests int
-	// answered is set once a byte of the response to the present request is written.
+	// answered is set once a byte of the response to the present request is written, not
+	// counting interim responses.
 	answered bool
 	// ending is set once the connection is to be closed while it waits for a request; cause
 	// is then the reason. The next read closes it, unless a request has arrived.
@@ -174,7 +176,8 @@
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
 	n, err := c.TCPConn.Write(b)
-	if n > 0 {
+	// The server writes an interim response with a call of its own.
+	if n > 0 && !bytes.HasPrefix(b, []byte("HTTP/1.1 100 ")) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.answered = true
--- a/internal/adapter/httpconn/conn_test.go
+++ b/internal/adapter/httpconn/conn_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net"
+	"net/http"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -86,3 +88,35 @@
 		t.Errorf("%d connections are open and %d requests crossed the close, want 0 and 1", left, crossed.Load())
 	}
 }
+
+// Guards against a log that blames the client for a connection that the server closed, or
+// that leaves out a request which got an interim response only.
+func TestCloseOfAConnectionIsRecordedTruly(t *testing.T) {
+	for name, c := range map[string]struct {
+		prepare func(c *conn)
+		want    []string
+	}{
+		"new": {func(*conn) {}, []string{"connections_closed_by_server"}},
+		"interim response": {func(c *conn) {
+			c.setState(http.StateActive)
+			_, _ = c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+		}, []string{"connections_closed_by_server", "requests_unanswered_by_server"}},
+		"answer": {func(c *conn) {
+			c.setState(http.StateActive)
+			_, _ = c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\n\r\n"))
+		}, []string{"connections_closed_by_server"}},
+	} {
+		var counted []string
+		tracker := &Tracker{
+			Limits: func() Limits { return Limits{Header: time.Minute} }, Logger: zap.NewNop(),
+			Count: func(name string) { counted = append(counted, name) },
+		}
+		conn, _ := pair(t, tracker)
+		c.prepare(conn)
+		_ = conn.Close()
+		if !slices.Equal(counted, c.want) {
+			t.Errorf("%s: counted %q, want %q", name, counted, c.want)
+		}
+	}
+}
--- a/internal/adapter/httpconn/tracker.go
+++ b/internal/adapter/httpconn/tracker.go
@@ -69,7 +69,7 @@
 }
 
 func (t *Tracker) add(tcp *net.TCPConn) *conn {
-	c := &conn{TCPConn: tcp, tracker: t, openedAt: time.Now()}
+	c := &conn{TCPConn: tcp, tracker: t, openedAt: time.Now(), cause: closedByServer}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	// LimitsChanged must find the connection before its limits are read: it waits for mu.
