Begin no further attempt with a withdrawn key

What an operator sees: a withdrawn key still runs a request at a further engine, when its first attempt ends after the withdrawal, up to the timeout of the route.

Cause: the key was checked at the admission only. The next attempt now needs that the document in force still has the key. A request that has not run gets 401, any other one ends like one without a further attempt. A key that is in the document, but no longer confirmed, is left to the admission: ending streams at a front that has lost the core would cost answers that the rule for sent requests allows.

TestWithdrawnKeyBeginsNoFurtherAttempt failed before (the next target ran it) and passes.

--- a/internal/proxy/admission.go
+++ b/internal/proxy/admission.go
@@ -103,6 +103,13 @@
 	return c.authenticate()
 }
 
+// keyWithdrawn reports whether the document in force no longer has the key of an admitted
+// request.
+func (c *call) keyWithdrawn() bool {
+	table := c.State().Table
+	return c.workspace != nil && !c.route.Open && table != nil && table.Owner(c.request.APIKey) == nil
+}
+
 // stateExpired reports whether the confirmation of the state is too old to
 // accept keys. A withdrawn key must stop working also on a VM that has lost its
 // connection to the core.
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -225,6 +225,9 @@
 		if c.comesTooLate() {
 			return c.endStopped()
 		}
+		if c.attempts > 0 && c.keyWithdrawn() {
+			return c.endWithdrawn()
+		}
 		if refused := c.quarantined(); refused != nil {
 			if c.awaitVerdict(refused) {
 				continue
--- a/internal/proxy/outcome.go
+++ b/internal/proxy/outcome.go
@@ -78,6 +78,15 @@
 	return &errStopping
 }
 
+// endWithdrawn returns the refusal of a request whose key was withdrawn after its admission.
+func (c *call) endWithdrawn() *refusal {
+	c.addReason("the key was withdrawn")
+	if c.headersSent || c.possibleRuns > 0 {
+		return c.endFailed(&errTargetFailed)
+	}
+	return &errUnknownKey
+}
+
 // endFailed finishes a failed request. A stream that has begun is aborted.
 // Otherwise the caller gets the error response of a target, if there is one. A
 // request that cannot have run gets errTargetsFull, and any other one the given
--- a/internal/proxy/slowupload_test.go
+++ b/internal/proxy/withdrawnkey_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -45,3 +46,36 @@
 		})
 	}
 }
+
+// Guards against a withdrawn key that still runs requests at further targets, because they
+// were admitted before.
+func TestWithdrawnKeyBeginsNoFurtherAttempt(t *testing.T) {
+	for name, c := range map[string]struct {
+		first  script
+		status int
+	}{
+		"refused by the first target": {respond("503 Service Unavailable", "Not-Run: yes\r\n", "full"), http.StatusUnauthorized},
+		"broken off":                  {func(net.Conn, *http.Request) bool { return false }, http.StatusBadGateway},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var f *front
+			first := newTarget(t, func(conn net.Conn, r *http.Request) bool {
+				state := f.getState()
+				document := *state.Table.Document
+				document.Version, document.Workspaces = 2, nil
+				state.Table = gatewayconfig.Compile(&document)
+				f.setState(state)
+				return c.first(conn, r)
+			})
+			next := newTarget(t, respondOK("ran"))
+			f = newFront(t, gatewayconfig.Route{Kind: gatewayconfig.RunIdempotent, MaxAttempts: 2}, first, next)
+			resp, _, err := f.call(t, "r1", http.MethodGet, "")
+			if err != nil || resp.StatusCode != c.status {
+				t.Errorf("response %v, error %v; want %d", resp, err, c.status)
+			}
+			if n := len(next.requests()); n != 0 {
+				t.Errorf("the next target got %d requests, want none", n)
+			}
+		})
+	}
+}
