End idle connections although the listener failed

The drain waited for the end of the accepts before it ended any connection. A listener that has failed with another error than its close never reports that, so all connections stayed open until the deadline and were cut then. The end of the accepts now only decides whether the drain may return.

Found on review of the wait for the last accept; go test -race -count 5 of the package passes.

--- a/internal/adapter/httpconn/drain.go
+++ b/internal/adapter/httpconn/drain.go
@@ -37,10 +37,11 @@
 	cancel()
 	// An error means that it is closed already.
 	_ = listener.Close()
-	t.awaitLastAccept(ctx)
 	for ctx.Err() == nil {
+		// No connection is added once the accepts have ended, so they are looked at first.
+		ended := t.acceptsEnded()
 		open := t.connections()
-		if len(open) == 0 {
+		if ended && len(open) == 0 {
 			return nil
 		}
 		for _, c := range open {
@@ -63,15 +64,17 @@
 	}
 }
 
-// awaitLastAccept blocks until the connections that were accepted before the close of the
+// acceptsEnded reports whether the connections that were accepted before the close of the
 // listener are tracked.
-func (t *Tracker) awaitLastAccept(ctx context.Context) {
+func (t *Tracker) acceptsEnded() bool {
 	if t.acceptEnded == nil {
-		return
+		return true
 	}
 	select {
 	case <-t.acceptEnded:
-	case <-ctx.Done():
+		return true
+	default:
+		return false
 	}
 }
 
