Give rarely used prompt parts a home beside a store

Cause: most shared parts that are read again within 10 s are held by nobody any more. Two thirds of the engines have no store in their region.

Change: a front tracks how often a shared part is used, over all fronts, and how fast engines are filled. A part that engines evict between two uses has its home where a store keeps it, and is fetched in place of being read.

--- a/internal/placement/hints.go
+++ b/internal/placement/hints.go
@@ -155,7 +155,8 @@
 	m.addBacklog(now, float64(work))
 	prefilled := blockTokens * float64(binary.LittleEndian.Uint16(entry[6:]))
 	parts := decodeParts(entry[entryHeaderBytes:])
-	m.insertedTokens += prefilled
+	m.insertTokens(now, prefilled)
+	p.uses.record(now, parts)
 	m.recordParts(parts)
 	if entry[entryHeaderBytes-1]&savedFlag != 0 {
 		p.recordSave(now, m, parts, prefilled)
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -1,22 +1,30 @@
 package placement
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // homeFor returns the home of a request: the member that all VMs prefer for its
 // shared parts, so that these are cached there. Rendezvous hashing of the last
 // shared part lets all VMs choose the same member without exchanging messages.
 // Prompts with the same first part have their homes within a small group, so
-// that the first part occupies memory only there.
-func homeFor(s *service, req *Request) *member {
+// that the first part occupies memory only there. A prompt whose shared parts engines
+// would evict before their next use has its home where a store keeps them.
+func (p *Placer) homeFor(s *service, req *Request, now time.Time) *member {
 	shared := len(req.Parts) - req.UniqueParts
 	if shared <= 0 {
 		return nil
 	}
+	members := s.members
+	if !p.uses.survive(s, req.sharedParts(), now) {
+		members = p.storeBacked(s, req)
+	}
 	first, last := req.Parts[0].ID, req.Parts[shared-1].ID
-	minWeight := minGroupWeight(s, req, first)
+	minWeight := minGroupWeight(members, req, first)
 	var home *member
 	best := uint64(0)
-	for _, m := range s.members {
+	for _, m := range members {
 		if !m.canBeHome(req) || mix64(first^m.hash) < minWeight {
 			continue
 		}
@@ -27,6 +35,21 @@
 	return home
 }
 
+// storeBacked returns the candidates for the home of a request whose region has a store,
+// or all members if there are none.
+func (p *Placer) storeBacked(s *service, req *Request) []*member {
+	var backed []*member
+	for _, m := range s.members {
+		if m.canBeHome(req) && p.hasStore(m.Region) {
+			backed = append(backed, m)
+		}
+	}
+	if len(backed) == 0 {
+		return s.members
+	}
+	return backed
+}
+
 // canBeHome reports whether the member is a candidate for the home of a
 // request. Engines with older weights are not, because their cache is lost with
 // the coming weight update.
@@ -41,9 +64,9 @@
 
 // minGroupWeight returns the lowest rendezvous weight of the members that can
 // be homes of prompts with the given first part.
-func minGroupWeight(s *service, req *Request, first uint64) uint64 {
-	weights := make([]uint64, 0, len(s.members))
-	for _, m := range s.members {
+func minGroupWeight(members []*member, req *Request, first uint64) uint64 {
+	weights := make([]uint64, 0, len(members))
+	for _, m := range members {
 		if m.canBeHome(req) {
 			weights = append(weights, mix64(first^m.hash))
 		}
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -164,6 +164,8 @@
 	// first.
 	insertedTokens float64
 	parts          map[uint32]float64
+	// insertion is how fast insertedTokens grows.
+	insertion decayingRate
 	// admission is what the target has said about the requests that it accepts.
 	admission admission
 }
@@ -198,6 +200,7 @@
 	visibleFronts  int
 	frontCountSeen time.Time
 	passedOver     [passReasons]uint64
+	uses           partUses
 }
 
 // New returns a Placer without targets.
@@ -281,7 +284,7 @@
 // down are considered only if includeDown is set, and members with a limit only as far as
 // use allows.
 func (p *Placer) cheapest(s *service, req *Request, now time.Time, use limitUse, includeDown bool) *Choice {
-	home := homeFor(s, req)
+	home := p.homeFor(s, req, now)
 	holders := s.holdersByZone(req)
 	var best *Choice
 	bestCost, bestLoad := math.Inf(1), 0.0
@@ -447,7 +450,8 @@
 	c.includedWaitMS = m.currentWait(now)
 	m.inflight++
 	m.addBacklog(now, c.workMS)
-	m.insertedTokens += c.insertedTokens
+	m.insertTokens(now, c.insertedTokens)
+	p.uses.record(now, partHashes(req.sharedParts()))
 	for _, part := range req.Parts {
 		m.parts[uint32(part.ID)] = m.insertedTokens
 	}
--- a/internal/placement/store.go
+++ b/internal/placement/store.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -87,6 +88,11 @@
 	return best
 }
 
+// hasStore reports whether a store is in the region.
+func (p *Placer) hasStore(region string) bool {
+	return slices.ContainsFunc(p.stores, func(s *store) bool { return s.Region == region })
+}
+
 // storeKey identifies a part computed with the given weights.
 func storeKey(part uint32, weights uint64) uint64 { return mix64(uint64(part) ^ mix64(weights)) }
 
