Answer every call that arrives while a member of the core stops

Cause: the servers of a member ended with http.Server.Shutdown. It closes idle connections whether or not a call is on its way, drops each call whose headers it reads while it runs, and calls that last longer than the member were cut. Held polls ended up to 0.5 s after the signal.

Change: each server has an httpconn.Tracker. After the roles are given up, the control server accepts calls until 1.2 s after the signal and until no connection has arrived for 0.4 s, but not in the last 0.5 s of shutdownTime. Then the connections end as they become idle, those for peers last, because operators' calls need the control log. All calls share a context that ends 0.25 s before the end of the stop, and responses say Connection: close. Raft messages keep their connections. Held polls are sent away at once. Tracker.Drain is split into AwaitQuiet and Finish, which the core limits differently.

--- a/internal/adapter/httpconn/drain.go
+++ b/internal/adapter/httpconn/drain.go
@@ -22,14 +22,21 @@
 
 // Drain ends a server that has been told to stop. Until notBefore, and as long as clients
 // open connections or requests are served, the listener stays open and every request is
-// served. It then closes the listener and the idle connections, and returns when all
-// connections are closed. It returns early, with the error of ctx, when ctx is done.
+// served. It then finishes the server. It returns early, with the error of ctx, when ctx is
+// done.
 //
 // http.Server.Shutdown is no substitute: it closes idle connections with requests on their
 // way to them, and drops requests that have been read while it runs.
 func (t *Tracker) Drain(ctx context.Context, listener net.Listener, notBefore time.Time) error {
+	t.AwaitQuiet(ctx, notBefore)
+	return t.Finish(ctx, listener)
+}
+
+// Finish closes the listener and each connection that waits for its next request, and
+// returns when all connections are closed. It returns early, with the error of ctx, when
+// ctx is done.
+func (t *Tracker) Finish(ctx context.Context, listener net.Listener) error {
 	t.draining.Store(true)
-	t.awaitQuiet(ctx, notBefore)
 	// An error means that it is closed already.
 	_ = listener.Close()
 	for ctx.Err() == nil {
@@ -45,9 +52,10 @@
 	return ctx.Err()
 }
 
-// awaitQuiet blocks until no connection has arrived for quietAcceptTime and no request is
+// AwaitQuiet blocks until no connection has arrived for quietAcceptTime and no request is
 // in progress, and at least until notBefore. It returns at once when ctx is done.
-func (t *Tracker) awaitQuiet(ctx context.Context, notBefore time.Time) {
+func (t *Tracker) AwaitQuiet(ctx context.Context, notBefore time.Time) {
+	t.draining.Store(true)
 	known, quiet := t.accepted.Load(), 0
 	for (quiet < quietPolls || time.Now().Before(notBefore) || t.busy()) && pause.For(ctx, drainPollInterval) {
 		quiet++
--- a/internal/adapter/httpconn/drain_test.go
+++ b/internal/adapter/httpconn/drain_test.go
@@ -15,7 +15,7 @@
 		accepted <- time.Now()
 		tracker.accepted.Add(1)
 	})
-	tracker.awaitQuiet(context.Background(), time.Now())
+	tracker.AwaitQuiet(context.Background(), time.Now())
 	if quiet := time.Since(<-accepted); quiet < quietAcceptTime {
 		t.Errorf("the listener closes %v after the last connection, want %v at least", quiet, quietAcceptTime)
 	}
@@ -25,14 +25,14 @@
 // after the time for it.
 func TestListenerStaysOpenForTheDrainDelay(t *testing.T) {
 	started := time.Now()
-	(&Tracker{}).awaitQuiet(context.Background(), started.Add(2*quietAcceptTime))
+	(&Tracker{}).AwaitQuiet(context.Background(), started.Add(2*quietAcceptTime))
 	if open := time.Since(started); open < 2*quietAcceptTime {
 		t.Errorf("the listener closes after %v, want %v at least", open, 2*quietAcceptTime)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	started = time.Now()
-	(&Tracker{}).awaitQuiet(ctx, started.Add(time.Hour))
+	(&Tracker{}).AwaitQuiet(ctx, started.Add(time.Hour))
 	if open := time.Since(started); open > time.Second {
 		t.Errorf("the listener stays open for %v after the time for it", open)
 	}
--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -23,7 +23,6 @@
 	"github.com/cuminwing/cuminwing/internal/raft"
 	"github.com/cuminwing/cuminwing/internal/ratelimit"
 	followv1 "github.com/cuminwing/cuminwing/proto/follow/v1"
-	raftv1 "github.com/cuminwing/cuminwing/proto/raft/v1"
 )
 
 const (
@@ -112,10 +111,16 @@
 	// uploads and downloads order the large bodies of the operators' calls.
 	uploads, downloads *transferTurns
 	storeHealth        *storeHealth
+	counters           *metrics.Set
 	ctx                context.Context
 	cancel             context.CancelFunc
-	tasks              sync.WaitGroup
-	disk               disk.Options
+	// calls is the context of all calls to this member; endCalls ends them.
+	calls    context.Context
+	endCalls context.CancelFunc
+	// stopping is closed when the member has been told to stop.
+	stopping chan struct{}
+	tasks    sync.WaitGroup
+	disk     disk.Options
 	// logFailed is closed when the control log has failed.
 	logFailed     chan struct{}
 	logFailedOnce sync.Once
@@ -196,13 +201,16 @@
 		document: &gatewayconfig.StateMachine{}, registry: fleet.NewRegistry(), changed: make(chan struct{}), logFailed: make(chan struct{}),
 		client: peerClient(), storeHealth: newStoreHealth(), zones: make(map[string]string),
 		uploads: newTransferTurns(), downloads: newTransferTurns(),
-		relayed: relayedState{fronts: &fleetsync.FrontList{}},
+		relayed:  relayedState{fronts: &fleetsync.FrontList{}},
+		counters: metrics.New(s.VM), stopping: make(chan struct{}),
 	}
 	// The tasks keep running after ctx is done, so that shutdown can transfer
 	// the leadership.
 	c.ctx, c.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	defer c.tasks.Wait()
 	defer c.cancel()
+	c.calls, c.endCalls = context.WithCancel(c.ctx)
+	defer c.endCalls()
 	c.document.OnChange = c.notify
 	c.registry.OnChange = c.notifySoon
 	if err := c.openReplica(); err != nil {
@@ -233,21 +241,13 @@
 		return nil
 	case <-c.logFailed:
 	}
-	closeAll(servers)
+	servers.close()
 	return errors.Mark(c.replica.Status().Failure, errLogFailed)
 }
 
-func closeAll(servers []*http.Server) {
-	for _, s := range servers {
-		// The connections are closed without a graceful shutdown, so that
-		// their clients fail over to another member at once.
-		_ = s.Close()
-	}
-}
-
 // registerGauges exports the state of this member as metrics.
 func (c *Core) registerGauges() {
-	set := metrics.New(c.settings.VM)
+	set := c.counters
 	set.Gauge("leads", func() any { return c.replica.Status().Role == raft.Leader })
 	set.Gauge("term", func() any { return c.replica.Status().Term })
 	set.Gauge("commit", func() any { return c.replica.Status().Commit })
@@ -319,31 +319,6 @@
 	return c.changed
 }
 
-// serve starts two servers: one for peers, one for operators and targets.
-func (c *Core) serve(control http.Handler) ([]*http.Server, error) {
-	mux := http.NewServeMux()
-	server := replica.Server{Replica: c.replica}
-	raftService := raftv1.NewRaftServiceServer(server)
-	mux.Handle(raftService.PathPrefix(), raftService)
-	logService := raftv1.NewLogServiceServer(server)
-	mux.Handle(logService.PathPrefix(), logService)
-	c.registerFollow(mux)
-	c.registerMembers(mux)
-	registerMetrics(mux)
-	var servers []*http.Server
-	for address, handler := range map[string]http.Handler{c.settings.selfPeerAddress(): mux, c.settings.ControlAddress: control} {
-		listener, err := listen(address)
-		if err != nil {
-			closeAll(servers)
-			return nil, errors.Wrapf(err, "listen on %s", address)
-		}
-		s := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}
-		servers = append(servers, s)
-		c.startTask(func(context.Context) { serveUntilClosed(c.logger, s, listener) })
-	}
-	return servers, nil
-}
-
 // isMember reports whether this replica is a member of the control log and has
 // not failed, so that its state follows the log.
 func (c *Core) isMember() bool {
--- a/internal/edge/corefollow.go
+++ b/internal/edge/corefollow.go
@@ -40,11 +40,14 @@
 		return nil, twirp.InvalidArgumentError("report", err.Error())
 	}
 	if !c.isMember() || c.withoutLeaderFor(received) > noLeaderTimeout {
-		return &followv1.FollowResponse{Core: c.coreMembers()}, nil
+		return c.sendAway(), nil
 	}
 	if !request.GetNoWait() {
 		c.awaitChange(ctx, received, request)
 	}
+	if c.isStopping() {
+		return c.sendAway(), nil
+	}
 	report, err := c.relays.call(ctx, request.GetReport())
 	if ctx.Err() != nil {
 		return nil, twirp.NewError(twirp.Canceled, "the front has ended the call")
@@ -56,6 +59,11 @@
 	return c.followResponse(received, request, report)
 }
 
+// sendAway returns the response for a front that has to follow another member.
+func (c *Core) sendAway() *followv1.FollowResponse {
+	return &followv1.FollowResponse{Core: c.coreMembers()}
+}
+
 // followResponse builds the response from a relayed report.
 func (c *Core) followResponse(received time.Duration, request *followv1.FollowRequest, report *relayedReport) (*followv1.FollowResponse, error) {
 	state := report.state
@@ -97,10 +105,11 @@
 		case <-changed:
 		case <-timer.C:
 		case <-ctx.Done():
+		case <-c.stopping:
 		case <-c.ctx.Done():
 		}
 		timer.Stop()
-		if ctx.Err() != nil || c.ctx.Err() != nil {
+		if ctx.Err() != nil || c.ctx.Err() != nil || c.isStopping() {
 			return
 		}
 	}
--- a/internal/edge/corestop.go
+++ b/internal/edge/corestop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,27 +19,44 @@
 	// time between two of them.
 	leaveTimeout  = 700 * time.Millisecond
 	leaveInterval = 100 * time.Millisecond
-	// serverShutdownTime is the part of shutdownTimeout that is left to the servers.
+	// serverShutdownTime is the part of shutdownTimeout after which no new connection is
+	// accepted. It is left to the calls in progress.
 	serverShutdownTime = 500 * time.Millisecond
+	// finalResponseTime is the part of serverShutdownTime that is left to the responses to
+	// calls that last until then, and to the close of their connections.
+	finalResponseTime = 250 * time.Millisecond
+	// lastCallTime is how long calls are served at least, if shutdownTimeout allows it. A
+	// target sends a heartbeat each second, and learns from the response that its
+	// connection ends.
+	lastCallTime = 1200 * time.Millisecond
 )
 
 // shutdown transfers the leadership and hands over the vote before it stops the
 // servers, so that fronts and operators do not have to wait for an election, and the
 // core does not lack a voter if this VM does not come back.
-func (c *Core) shutdown(servers []*http.Server) {
+func (c *Core) shutdown(servers *coreServers) {
 	c.logger.Info("core stops", zap.String("reason", "signal"))
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTime(c.settings.Guarantees.GracePeriod))
-	defer cancel()
-	c.giveUpRoles(ctx)
+	started := time.Now()
+	end := started.Add(shutdownTime(c.settings.Guarantees.GracePeriod))
+	close(c.stopping)
+	callsEnd := time.AfterFunc(time.Until(end.Add(-finalResponseTime)), c.endCalls)
+	defer callsEnd.Stop()
+	c.giveUpRoles(end.Add(-serverShutdownTime))
 	c.notify()
-	for _, s := range servers {
-		if err := s.Shutdown(ctx); err != nil {
-			_ = s.Close()
-		}
-	}
+	servers.drain(c.logger, started.Add(lastCallTime), end)
 	c.client.CloseIdleConnections()
 }
 
+// isStopping reports whether this member has been told to stop.
+func (c *Core) isStopping() bool {
+	select {
+	case <-c.stopping:
+		return true
+	default:
+		return false
+	}
+}
+
 // shutdownTime returns how long the shutdown of a process with a grace period may take.
 func shutdownTime(gracePeriod time.Duration) time.Duration {
 	if gracePeriod <= 0 {
@@ -50,13 +66,10 @@
 }
 
 // giveUpRoles transfers the leadership, if this replica leads, and then its vote, if
-// there is a learner that can have it.
-func (c *Core) giveUpRoles(ctx context.Context) {
-	if deadline, ok := ctx.Deadline(); ok {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-serverShutdownTime))
-		defer cancel()
-	}
+// there is a learner that can have it. It gives up at end.
+func (c *Core) giveUpRoles(end time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
 	if c.replica.Status().Role == raft.Leader {
 		if err := c.replica.Transfer(ctx); err != nil {
 			c.logger.Warn("leadership transfer failed", zap.Error(err))
--- a/internal/edge/system_test.go
+++ b/internal/edge/system_test.go
@@ -89,6 +89,8 @@
 	disk   fillingDisk
 	// segmentBytes is the size of the segments of the control log; 0 means the default.
 	segmentBytes int64
+	// control handles the calls of operators and targets; nil rejects them all.
+	control func(*Core) http.Handler
 }
 
 // hostsUsed is the number of loopback addresses handed out in this test process.
@@ -162,6 +164,9 @@
 				default:
 					// RunCore has reopened the control log.
 				}
+				if c.control != nil {
+					return c.control(core)
+				}
 				return http.NotFoundHandler()
 			},
 		})
