Do not join the core again while stopping

Cause: a member that has handed over its vote is no member any more, and asks to join again after a second without a leader. If calls keep it running for so long, the leader adds it as a learner just before it ends.

Change: a member that has been told to stop sends no join requests.

--- a/internal/edge/corejoin.go
+++ b/internal/edge/corejoin.go
@@ -63,7 +63,8 @@
 func (j *joiner) due() bool {
 	status := j.core.replica.Status()
 	switch {
-	case status.Failure != nil:
+	case status.Failure != nil || j.core.isStopping():
+		// A member that stops may have handed over its vote.
 		return false
 	case !j.core.isMember():
 		return true
--- a/internal/edge/corestop_test.go
+++ b/internal/edge/corestop_test.go
@@ -72,3 +72,28 @@
 		})
 	}
 }
+
+// Guards against a member that hands over its vote at a planned stop and then asks to join
+// again, so that the core keeps a learner that is gone.
+func TestMemberThatStopsDoesNotJoinAgain(t *testing.T) {
+	t.Parallel()
+	d := newDeploymentWith(t, 3, func(c *runningCore) { c.control = slowControl })
+	d.addSuccessor()
+	i := (d.leaderIndex() + 1) % len(d.cores)
+	left := d.cores[i]
+	leftID := left.core.replica.Status().ID
+	d.stopBeside(left)
+	// This call makes the stop last longer than a member waits before it joins again.
+	conn := dialMember(t, left.settings.ControlAddress)
+	startCall(t, conn, "/slow")
+	readCall(t, conn)
+	for _, c := range append(d.cores[:i:i], d.cores[i+1:]...) {
+		if status := c.core.replica.Status(); status.Role == raft.Leader {
+			if _, ok := status.Members.Find(leftID); ok {
+				t.Errorf("members after the stop of %s are %v", leftID, status.Members)
+			}
+			return
+		}
+	}
+	t.Error("no member leads after the planned stop")
+}
