Tell a proposal of unknown outcome from one that was not accepted

Cause: both got 503, so an operator whose call ended with the stop of a member, or without a quorum, could not tell whether the change may still take effect.

--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -328,9 +328,21 @@
 }
 
 // ErrUnavailable means that the core cannot respond at present. A proposal that
-// ends with it may or may not take effect.
+// ends with it has no effect, unless the error is ErrUncertain too.
 var ErrUnavailable = errors.New("the control log is not reachable")
 
+// ErrUncertain means that a proposal may have been accepted, or may be later. It comes with
+// ErrUnavailable.
+var ErrUncertain = errors.New("the outcome of the proposal is unknown")
+
+// proposalError marks the error of a proposal.
+func proposalError(err error) error {
+	if !errors.Is(err, control.ErrNotCommitted) && !errors.Is(err, errOverloaded) {
+		err = errors.Mark(err, ErrUncertain)
+	}
+	return errors.Mark(err, ErrUnavailable)
+}
+
 // readBarrier blocks until this replica has applied all entries that were
 // committed before the call, and returns a log index that covers them.
 func (c *Core) readBarrier(ctx context.Context) (uint64, error) {
@@ -371,7 +383,7 @@
 	ctx, cancel := context.WithTimeout(ctx, proposalTimeout(len(body)))
 	defer cancel()
 	if _, err := c.log.Propose(ctx, kind, body); err != nil {
-		return errors.Mark(err, ErrUnavailable)
+		return proposalError(err)
 	}
 	return nil
 }
--- a/internal/edge/coreapi.go
+++ b/internal/edge/coreapi.go
@@ -13,7 +13,7 @@
 
 // PutDocument validates a document from an operator and commits it to the
 // control log. An error that is gatewayconfig.ErrInvalid names the invalid
-// part. After ErrUnavailable the document may or may not be active.
+// part. After ErrUncertain the document may or may not be active.
 func (c *Core) PutDocument(ctx context.Context, raw []byte) error {
 	document, err := c.decode(raw)
 	if err != nil {
--- a/internal/edge/corecalls_test.go
+++ b/internal/edge/corecalls_test.go
@@ -7,9 +7,12 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	followv1 "github.com/cuminwing/cuminwing/proto/follow/v1"
 )
 
@@ -193,3 +196,30 @@
 		t.Errorf("the poll was held for %v after the signal", took)
 	}
 }
+
+// Guards against a proposal that the leader has accepted, and that may be committed later,
+// but is reported as refused, and against one that no leader has accepted and is reported
+// as uncertain.
+func TestProposalThatMayBeAcceptedIsUncertain(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t, 3)
+	leader, followers := d.leader()
+	var stops sync.WaitGroup
+	for _, f := range followers {
+		stops.Go(func() { d.stopCore(f) })
+	}
+	stops.Wait()
+	ctx := context.Background()
+	if err := leader.core.PutDocument(ctx, documentWithKey(1, "k1")); !errors.Is(err, ErrUncertain) {
+		t.Errorf("proposal to a leader without a quorum: %v, want ErrUncertain", err)
+	}
+	eventually(t, "loss of the leadership", func() error {
+		if leader.core.leaderAddress() != "" {
+			return errors.New("there is still a leader")
+		}
+		return nil
+	})
+	if err := leader.core.PutDocument(ctx, documentWithKey(2, "k1")); !errors.Is(err, ErrUnavailable) || errors.Is(err, ErrUncertain) {
+		t.Errorf("proposal without a leader: %v, want ErrUnavailable alone", err)
+	}
+}
--- a/internal/edge/coretargets.go
+++ b/internal/edge/coretargets.go
@@ -77,7 +77,7 @@
 	defer cancel()
 	_, err := c.announces.call(ctx, t)
 	if err != nil {
-		err = errors.Mark(err, ErrUnavailable)
+		err = proposalError(err)
 	}
 	c.logger.Info("target announced", zap.String("target", t.ID), zap.String("service", t.Service),
 		zap.String("address", t.Address), zap.Bool("draining", t.Draining), zap.Uint64("weights", t.Weights),
