--- a/internal/adapter/httpconn/drain.go
+++ b/internal/adapter/httpconn/drain.go
@@ -22,19 +22,26 @@
 
 // Drain ends a server that has been told to stop. Until notBefore, and as long as clients
 // open connections or requests are served, but at most until notAfter, the listener stays
-// open and every request is served. It then closes the listener and the idle connections,
-// and returns when all connections are closed. It returns early, with the error of ctx,
-// when ctx is done. Between notAfter and the deadline of ctx there must be time to end the
-// idle connections: those that are open at the deadline are cut by their server, also under
-// a request that has arrived.
+// open and every request is served. It then finishes the server. It returns early, with the
+// error of ctx, when ctx is done. Between notAfter and the deadline of ctx there must be
+// time to end the idle connections: those that are open at the deadline are cut by their
+// server, also under a request that has arrived.
 //
 // http.Server.Shutdown is no substitute: it closes idle connections with requests on their
 // way to them, and drops requests that have been read while it runs.
 func (t *Tracker) Drain(ctx context.Context, listener net.Listener, notBefore, notAfter time.Time) error {
 	t.draining.Store(true)
 	quietCtx, cancel := context.WithDeadline(ctx, notAfter)
-	t.awaitQuiet(quietCtx, notBefore)
+	t.AwaitQuiet(quietCtx, notBefore)
 	cancel()
+	return t.Finish(ctx, listener)
+}
+
+// Finish closes the listener and each connection that waits for its next request, and
+// returns when all connections are closed. It returns early, with the error of ctx, when
+// ctx is done.
+func (t *Tracker) Finish(ctx context.Context, listener net.Listener) error {
+	t.draining.Store(true)
 	// An error means that it is closed already.
 	_ = listener.Close()
 	for ctx.Err() == nil {
@@ -52,9 +59,10 @@
 	return ctx.Err()
 }
 
-// awaitQuiet blocks until no connection has arrived for quietAcceptTime and no request is
+// AwaitQuiet blocks until no connection has arrived for quietAcceptTime and no request is
 // in progress, and at least until notBefore. It returns at once when ctx is done.
-func (t *Tracker) awaitQuiet(ctx context.Context, notBefore time.Time) {
+func (t *Tracker) AwaitQuiet(ctx context.Context, notBefore time.Time) {
+	t.draining.Store(true)
 	known, quiet := t.accepted.Load(), 0
 	for (quiet < quietPolls || time.Now().Before(notBefore) || t.busy()) && pause.For(ctx, drainPollInterval) {
 		quiet++
