Close the sending side first if the client has sent more

What callers see: a client that pipelines requests, or sends an empty line after a body, loses the rest of a long response which ends its connection. All responses of a stopping front do.

Cause: the server closes the connection after the response. If bytes are unread in the socket, the kernel resets the connection and drops what it has not sent.

Such a connection is now closed like an idle one: first the sending side, and the socket after lingerTime, when what has arrived has been read. A connection that a handler has taken over is closed at once, because it is reset on purpose.

TestLastResponseReachesAClientThatHasSentMore failed before (109417 of 1048576 bytes, connection reset by peer) and passes. TestHijackedConnectionIsResetAtOnce passed before as well; it guards the exception.

--- a/internal/adapter/httpconn/conn.go
+++ b/internal/adapter/httpconn/conn.go
@@ -19,6 +19,14 @@
 // request that crossed the close is counted. It exceeds a round trip.
 const lingerTime = 200 * time.Millisecond
 
+const (
+	// maxDiscardBytes limits what is read of requests that get no response. It exceeds the
+	// largest headers.
+	maxDiscardBytes = 1 << 20
+	// discardBufferBytes is how much of that is read at once.
+	discardBufferBytes = 4 << 10
+)
+
 // phase is what a connection waits for.
 type phase uint8
 
@@ -75,6 +83,8 @@
 	ending bool
 	cause  closeCause
 	closed bool
+	// hijacked is set once a handler has taken over the connection.
+	hijacked bool
 }
 
 // expire ends the connection if it still waits for a request.
@@ -185,7 +195,9 @@
 	return n, err
 }
 
-// Close implements net.Conn. The server closes a connection in this way.
+// Close implements net.Conn. The server closes a connection in this way. If the client may
+// send, or has sent, what is not read, only the sending side is closed at first: the kernel
+// would reset the connection, and drop what is left of the last response.
 func (c *conn) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -194,8 +206,9 @@
 	}
 	c.closed = true
 	c.timer.Stop()
-	c.tracker.recordClose(c, sockopt.UnreadBytes(c.TCPConn))
-	if !c.ending || c.phase != phaseIdle {
+	unread := sockopt.UnreadBytes(c.TCPConn)
+	c.tracker.recordClose(c, unread)
+	if c.hijacked || unread == 0 && !c.endedIdle() {
 		c.tracker.remove(c)
 		return c.TCPConn.Close()
 	}
@@ -203,19 +216,36 @@
 	return c.TCPConn.CloseWrite()
 }
 
+// endedIdle reports whether the connection ends because it waited for a request.
+func (c *conn) endedIdle() bool { return c.ending && c.phase == phaseIdle }
+
 // finishClose closes the socket of a connection whose client has been told that no
 // response follows.
 func (c *conn) finishClose() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if unread := sockopt.UnreadBytes(c.TCPConn); unread > 0 {
+	if unread := sockopt.UnreadBytes(c.TCPConn); unread > 0 && c.endedIdle() {
 		c.tracker.recordCrossing(c, unread)
 	}
+	c.discardUnread()
 	c.tracker.remove(c)
 	// The connection has ended; there is nobody to tell.
 	_ = c.TCPConn.Close()
 }
 
+// discardUnread reads what has arrived, up to maxDiscardBytes.
+func (c *conn) discardUnread() {
+	_ = c.TCPConn.SetReadDeadline(time.Time{})
+	buffer := make([]byte, discardBufferBytes)
+	for discarded := 0; discarded < maxDiscardBytes && sockopt.UnreadBytes(c.TCPConn) > 0; {
+		n, err := c.TCPConn.Read(buffer)
+		if err != nil {
+			return
+		}
+		discarded += n
+	}
+}
+
 // setState follows the state that the server reports.
 func (c *conn) setState(state http.ConnState) {
 	c.mu.Lock()
@@ -228,7 +258,10 @@
 	case http.StateIdle:
 		limits := c.tracker.Limits()
 		c.enter(phaseIdle, limits.Idle, limits.Document)
-	case http.StateClosed, http.StateHijacked:
+	case http.StateHijacked:
+		c.hijacked = true
+		c.timer.Stop()
+	case http.StateClosed:
 		c.timer.Stop()
 	}
 }
--- a/internal/adapter/httpconn/conn_test.go
+++ b/internal/adapter/httpconn/conn_test.go
@@ -1,13 +1,17 @@
 package httpconn
 
 import (
+	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"slices"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 )
 
@@ -120,3 +124,62 @@
 		}
 	}
 }
+
+// Guards against a response that is reset, because the client has already sent its next
+// request, and the response ends the connection.
+func TestLastResponseReachesAClientThatHasSentMore(t *testing.T) {
+	const (
+		request  = "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n"
+		bodySize = 1 << 20
+	)
+	var crossed atomic.Int64
+	begun, proceed := make(chan struct{}), make(chan struct{})
+	tracker := newTestTracker(Limits{Header: time.Minute}, &crossed)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{ConnState: tracker.ConnState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(begun)
+		<-proceed
+		w.Header().Set("Connection", "close")
+		_, _ = w.Write(make([]byte, bodySize))
+	})}
+	t.Cleanup(func() { _ = server.Close() })
+	go func() { _ = server.Serve(tracker.Listen(listener)) }()
+	client, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	_ = client.SetDeadline(time.Now().Add(5 * time.Second))
+	_, _ = client.Write([]byte(request))
+	<-begun
+	_, _ = client.Write([]byte(request))
+	time.Sleep(50 * time.Millisecond)
+	close(proceed)
+	time.Sleep(2 * lingerTime)
+	response, err := http.ReadResponse(bufio.NewReader(client), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n, err := io.Copy(io.Discard, response.Body); err != nil || n != bodySize {
+		t.Errorf("read %d bytes of the body, error %v; want %d", n, err, bodySize)
+	}
+}
+
+// Guards against a response without a length that looks complete although it was cut: a
+// handler that has taken over the connection resets it.
+func TestHijackedConnectionIsResetAtOnce(t *testing.T) {
+	var crossed atomic.Int64
+	c, client := pair(t, newTestTracker(Limits{Header: time.Minute}, &crossed))
+	c.setState(http.StateActive)
+	c.setState(http.StateHijacked)
+	_, _ = client.Write([]byte("GET"))
+	time.Sleep(50 * time.Millisecond)
+	_ = c.SetLinger(0)
+	_ = c.Close()
+	if _, err := client.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the client reads error %v, want %v", err, syscall.ECONNRESET)
+	}
+}
