Keep a new connection for its first request while a front ends

What callers see: a request on a connection that was opened just before the end of a front crosses the close.

An unused connection is now kept for 100 ms; what is left open is closed at the deadline of the drain, as before. TestNewConnectionIsKeptForItsFirstRequest failed before (the connection ends at once).

--- a/internal/adapter/httpconn/conn.go
+++ b/internal/adapter/httpconn/conn.go
@@ -27,6 +27,10 @@
 	discardBufferBytes = 4 << 10
 )
 
+// firstRequestTime is how long a new connection is kept for its first request although the
+// server ends: the request usually follows within a round trip.
+const firstRequestTime = 100 * time.Millisecond
+
 // phase is what a connection waits for.
 type phase uint8
 
@@ -290,6 +294,9 @@
 func (c *conn) stop() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.requests == 0 && time.Since(c.openedAt) < firstRequestTime {
+		return
+	}
 	if c.phase == phaseIdle {
 		c.endWait(closedByStop)
 	}
--- a/internal/adapter/httpconn/conn_test.go
+++ b/internal/adapter/httpconn/conn_test.go
@@ -59,8 +59,11 @@
 		if _, err := client.Write([]byte(request)); err != nil {
 			t.Fatal(err)
 		}
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(firstRequestTime)
 		end(c)
+		if !c.ending {
+			t.Errorf("%s: the connection does not end", name)
+		}
 		buffer := make([]byte, len(request))
 		if n, err := c.Read(buffer); err != nil || n != len(request) || c.ending {
 			t.Errorf("%s: read %d bytes, error %v, ending %v; want the request", name, n, err, c.ending)
@@ -74,6 +77,7 @@
 	var crossed atomic.Int64
 	tracker := newTestTracker(Limits{Header: time.Minute}, &crossed)
 	c, client := pair(t, tracker)
+	time.Sleep(firstRequestTime)
 	c.stop()
 	if n, err := c.Read(make([]byte, 1)); n != 0 || err == nil {
 		t.Fatalf("read %d bytes, error %v; want the end", n, err)
@@ -183,3 +187,20 @@
 		t.Errorf("the client reads error %v, want %v", err, syscall.ECONNRESET)
 	}
 }
+
+// Guards against a connection that a client has just opened, and that the end of the server
+// closes before the first request on it arrives.
+func TestNewConnectionIsKeptForItsFirstRequest(t *testing.T) {
+	var crossed atomic.Int64
+	c, client := pair(t, newTestTracker(Limits{Header: time.Minute}, &crossed))
+	c.stop()
+	if c.ending {
+		t.Error("the connection ends at once")
+	}
+	if _, err := client.Write([]byte("GET")); err != nil {
+		t.Fatal(err)
+	}
+	if n, err := c.Read(make([]byte, 3)); n != 3 || err != nil {
+		t.Errorf("read %d bytes, error %v; want the request", n, err)
+	}
+}
