End the write of a response at the deadline of its caller

A caller that keeps its connection and reads nothing is only cut off by TCP_USER_TIMEOUT, after 3 s. Nothing in the front limits the write itself: without that option a buffered response of 16 MiB stayed in memory after the caller's deadline of 3 s, and the caller still read all of it 2 s later.

Writes now end when the caller stops waiting (its own limit, or a minute if it states none), and have at least a second, so that a response that comes at the deadline is written. The timeout of the route does not limit the write.

--- a/internal/adapter/httpconn/conn.go
+++ b/internal/adapter/httpconn/conn.go
@@ -41,7 +41,8 @@
 	// closedByServer means that the server ended the connection: after a response that
 	// announced it, or after a handler that did not complete its response.
 	closedByServer
-	// closedByLimit means that the time limit of a phase has passed.
+	// closedByLimit means that the time limit of a phase, or that to write a response, has
+	// passed.
 	closedByLimit
 	// closedByStop means that the process stops.
 	closedByStop
@@ -155,11 +156,14 @@
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
 	n, err := c.TCPConn.Write(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if n > 0 {
-		c.mu.Lock()
-		defer c.mu.Unlock()
 		c.answered = true
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.cause = closedByLimit
+	}
 	return n, err
 }
 
--- a/internal/proxy/admission.go
+++ b/internal/proxy/admission.go
@@ -106,12 +106,16 @@
 	return refused
 }
 
-func (c *call) setDeadline() {
-	limit := c.request.Timeout
-	if limit <= 0 {
-		limit = defaultTimeout
+// callerLimit returns how long the caller waits for its response.
+func (c *call) callerLimit() time.Duration {
+	if c.request.Timeout > 0 {
+		return c.request.Timeout
 	}
-	c.deadline = c.started.Add(min(limit, c.route.Timeout))
+	return defaultTimeout
+}
+
+func (c *call) setDeadline() {
+	c.deadline = c.started.Add(min(c.callerLimit(), c.route.Timeout))
 }
 
 func (c *call) readBody() *refusal {
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -71,6 +71,9 @@
 	defaultTimeout = time.Minute
 	// defaultMaxBodyBytes applies if the configuration document sets no limit.
 	defaultMaxBodyBytes = 8 << 20
+	// minWriteTime is how long the write of a response may take if the caller's deadline is
+	// nearer, so that one that comes at the deadline is still written.
+	minWriteTime = time.Second
 	// deadlineMargin is subtracted from the time left when the target is told
 	// its deadline.
 	deadlineMargin = 5 * time.Millisecond
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -314,9 +314,20 @@
 	c.firstByteAfter = time.Since(c.started)
 	c.headersSent = true
 	c.endConnection()
+	c.limitWrites()
 	c.w.WriteHeader(b.status)
-	// A write error means that the caller has disconnected.
-	_, _ = c.w.Write(b.body)
+	if _, err := c.w.Write(b.body); err != nil {
+		c.addReason("write to caller failed: " + err.Error())
+	}
+}
+
+// limitWrites ends the writes to the caller at its deadline, because a caller that keeps its
+// connection and reads nothing would hold the response for ever. http.Server clears the
+// limit after the response.
+func (c *call) limitWrites() {
+	limit := max(time.Until(c.started.Add(c.callerLimit())), minWriteTime)
+	// It fails only if the caller has disconnected.
+	_ = http.NewResponseController(c.w).SetWriteDeadline(time.Now().Add(limit))
 }
 
 // forwardStream passes on the events of a stream as they arrive.
@@ -390,6 +401,7 @@
 func (s *exchange) beginStream(resp *http.Response) {
 	s.Codec.CopyResponseHeaders(s.w.Header(), resp.Header)
 	s.endConnection()
+	s.limitWrites()
 	s.w.WriteHeader(resp.StatusCode)
 	s.headersSent = true
 	s.firstByteAfter = time.Since(s.started)
