Keep callers that read nothing for a while, and answer probes

What callers saw: a caller that reads nothing for 3 s in the middle of a response loses its connection, and so does one that reads 16 KB every 0.3 s.

Cause: TCP_USER_TIMEOUT counts a closed receive window as missing acknowledgements, although the caller answers the window probes, and goes on counting when the window opens by less than the next segment.

httpconn.Tracker now turns the option off for connections of callers, and reads TCP_INFO every 0.5 s for those that write or have written something that is not acknowledged. Runs on loopback (Linux 6.18, a socket filter that drops what arrives stands for a caller that is cut off) show what differs: - Closed window, caller alive: nothing in flight, unsent bytes; tcpi_probes is 0 or 1, because a probe less than 0.5 s after the last one is not answered. - Closed window, cut off: tcpi_probes goes 1, 2, ..., at intervals that double. - Open window, cut off: segments in flight, last data sent later than the last acknowledgement; retransmissions move the former only. A connection is reset once its data, or two probes, have been unanswered for 3 s. This is logged and counted as connections_closed_by_ack_timeout. Where TCP_INFO cannot be read, the option stays.

--- a/internal/adapter/httpconn/conn.go
+++ b/internal/adapter/httpconn/conn.go
@@ -46,9 +46,13 @@
 	closedByLimit
 	// closedByStop means that the process stops.
 	closedByStop
+	// closedByAckTimeout means that the client has acknowledged nothing for AckTimeout.
+	closedByAckTimeout
 )
 
-func (c closeCause) String() string { return [...]string{"client", "server", "limit", "stop"}[c] }
+func (c closeCause) String() string {
+	return [...]string{"client", "server", "limit", "stop", "ack_timeout"}[c]
+}
 
 // conn is a connection that keeps to the limits of its Tracker. The limits of http.Server
 // cannot be changed while it runs.
@@ -74,6 +78,12 @@
 	ending bool
 	cause  closeCause
 	closed bool
+	// acksWatched is set if checkAcks replaces TCP_USER_TIMEOUT.
+	acksWatched bool
+	acks        ackWatch
+	// writing is set during a write, flushing until all that was written is acknowledged.
+	writing  bool
+	flushing bool
 }
 
 // expire ends the connection if it still waits for a request.
@@ -134,7 +144,7 @@
 		c.answered = false
 		limits := c.tracker.Limits()
 		c.enter(phaseHeader, limits.Header, limits.Document)
-	case err != nil && !c.ending && !errors.Is(err, os.ErrDeadlineExceeded):
+	case err != nil && !c.ending && c.cause != closedByAckTimeout && !errors.Is(err, os.ErrDeadlineExceeded):
 		c.cause = closedByClient
 	}
 	return n, err
@@ -155,11 +165,13 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
+	c.setWriting()
 	n, err := c.TCPConn.Write(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.writing = false
 	if n > 0 {
-		c.answered = true
+		c.answered, c.flushing = true, true
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.cause = closedByLimit
@@ -167,6 +179,12 @@
 	return n, err
 }
 
+func (c *conn) setWriting() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = true
+}
+
 // Close implements net.Conn. The server closes a connection in this way.
 func (c *conn) Close() error {
 	c.mu.Lock()
@@ -177,6 +195,7 @@
 	c.closed = true
 	c.timer.Stop()
 	c.tracker.recordClose(c, sockopt.UnreadBytes(c.TCPConn))
+	c.endAckWatch()
 	if !c.ending || c.phase != phaseIdle {
 		c.tracker.remove(c)
 		return c.TCPConn.Close()
--- a/internal/adapter/httpconn/tracker.go
+++ b/internal/adapter/httpconn/tracker.go
@@ -28,6 +28,9 @@
 	Logger *zap.Logger
 	// Count adds 1 to a counter.
 	Count func(name string)
+	// AckTimeout is how long a client may leave sent data unanswered before WatchAcks closes
+	// its connection; 0 leaves that to the kernel.
+	AckTimeout time.Duration
 
 	accepted atomic.Int64
 	draining atomic.Bool
@@ -58,6 +61,7 @@
 
 func (t *Tracker) add(tcp *net.TCPConn) *conn {
 	c := &conn{TCPConn: tcp, tracker: t, openedAt: time.Now()}
+	c.beginAckWatch()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	limits := t.Limits()
--- a/internal/adapter/sockopt/sockopt.go
+++ b/internal/adapter/sockopt/sockopt.go
@@ -26,6 +26,15 @@
 	}
 }
 
+// SetAckTimeout sets TCP_USER_TIMEOUT on an open connection; 0 sets the limit of the system.
+func SetAckTimeout(conn syscall.Conn, timeout time.Duration) error {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return AckTimeout(timeout)("", "", raw)
+}
+
 // UnreadBytes returns the number of bytes that have arrived on a connection and were not
 // read; 0 if it cannot be determined.
 func UnreadBytes(conn syscall.Conn) int {
--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -128,11 +128,12 @@
 	f.quarantine.ctx = taskCtx
 	tasks.Go(func() { f.followCore(taskCtx) })
 	tasks.Go(func() { f.sweepConnections(taskCtx) })
+	tasks.Go(func() { f.callers.WatchAcks(taskCtx) })
 	tasks.Go(func() { f.probeUnreachableTargets(taskCtx) })
 	if err := f.startPeerExchange(taskCtx, &tasks); err != nil {
 		return err
 	}
-	listener, err := listen(s.FrontAddress)
+	listener, err := listenWith(s.FrontAddress, callerKeepAlive)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
@@ -164,7 +165,7 @@
 		synced:       make(chan struct{}),
 	}
 	f.callers = &httpconn.Tracker{
-		Limits: f.callerLimits, Logger: f.logger,
+		Limits: f.callerLimits, Logger: f.logger, AckTimeout: ackTimeout,
 		Count: func(name string) { f.counters.Add("caller_"+name, 1) },
 	}
 	f.placer.OnNotice = f.logNotice
--- a/internal/edge/net.go
+++ b/internal/edge/net.go
@@ -15,16 +15,24 @@
 )
 
 // ackTimeout is how long sent bytes may remain unacknowledged before the
-// connection is closed as unresponsive (TCP_USER_TIMEOUT). Callers wait for a
-// response for at least two seconds.
+// connection is closed as unresponsive: by TCP_USER_TIMEOUT, and on connections
+// of callers by httpconn.Tracker. Callers wait for a response for at least two
+// seconds.
 const ackTimeout = 3 * time.Second
 
 // keepAlive detects unresponsive connections on which no data is in flight.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3}
 
+// callerKeepAlive is keepAlive for connections of callers. It ends them after 7 s, as
+// keepAlive does together with TCP_USER_TIMEOUT, which httpconn.Tracker turns off there:
+// the option closes a connection when the second probe is due, whatever the count.
+var callerKeepAlive = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 2}
+
 // listen opens a TCP listener. Accepted connections inherit its socket options.
-func listen(address string) (net.Listener, error) {
-	config := net.ListenConfig{Control: sockopt.AckTimeout(ackTimeout), KeepAliveConfig: keepAlive}
+func listen(address string) (net.Listener, error) { return listenWith(address, keepAlive) }
+
+func listenWith(address string, probes net.KeepAliveConfig) (net.Listener, error) {
+	config := net.ListenConfig{Control: sockopt.AckTimeout(ackTimeout), KeepAliveConfig: probes}
 	return config.Listen(context.Background(), "tcp", address)
 }
 
--- a/internal/edge/slowreader_test.go
+++ b/internal/edge/slowreader_test.go
@@ -6,10 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/cuminwing/cuminwing/internal/gatewayconfig"
+	"github.com/cuminwing/cuminwing/internal/loopback"
 )
 
 // Guards against a response that is cut off because its caller reads nothing for some
@@ -70,6 +72,53 @@
 	}
 }
 
+// Guards against engines that work on for callers that are cut off: while a request runs,
+// and in the middle of its response.
+func TestCallerThatIsCutOffEndsItsRequest(t *testing.T) {
+	// idleLimit is the time in which keep-alive probes detect the cut.
+	idleLimit := callerKeepAlive.Idle + time.Duration(callerKeepAlive.Count)*callerKeepAlive.Interval
+	for name, c := range map[string]struct {
+		responds bool
+		limit    time.Duration
+	}{
+		"without data":         {false, idleLimit + time.Second},
+		"while it gets events": {true, ackTimeout + 2*time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ended := make(chan time.Time, 1)
+			f := startStoppedFront(t, 8*time.Second, gatewayconfig.RunStream, func(conn net.Conn, _ *http.Request) {
+				if c.responds {
+					go sendEvents(conn)
+				}
+				_, _ = conn.Read(make([]byte, 1))
+				ended <- time.Now()
+			})
+			conn := f.open(t, time.Minute, "body")
+			<-f.arrivals
+			if err := loopback.CutOff(conn.(syscall.Conn)); err != nil {
+				t.Fatal(err)
+			}
+			cut := time.Now()
+			select {
+			case at := <-ended:
+				t.Logf("ended after %v", at.Sub(cut))
+			case <-time.After(c.limit):
+				t.Errorf("the request still runs %v after the cut", c.limit)
+			}
+		})
+	}
+}
+
+// sendEvents sends a stream until its connection ends.
+func sendEvents(conn net.Conn) {
+	_, err := fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nId: id\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for ; err == nil; time.Sleep(100 * time.Millisecond) {
+		const event = "data: t\n\n"
+		_, err = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event)
+	}
+}
+
 // Guards against responses that fail because the time to write the response before them, on
 // the same connection, has passed.
 func TestRequestAfterTheDeadlineOfTheLastOneIsAnswered(t *testing.T) {
