--- a/internal/adapter/httpconn/conn.go
+++ b/internal/adapter/httpconn/conn.go
@@ -54,13 +54,18 @@
 	// closedByServer means that the server ended the connection: after a response that
 	// announced it, or after a handler that did not complete its response.
 	closedByServer
-	// closedByLimit means that the time limit of a phase has passed.
+	// closedByLimit means that the time limit of a phase, or that to write a response, has
+	// passed.
 	closedByLimit
 	// closedByStop means that the process stops.
 	closedByStop
+	// closedByAckTimeout means that the client has acknowledged nothing for AckTimeout.
+	closedByAckTimeout
 )
 
-func (c closeCause) String() string { return [...]string{"client", "server", "limit", "stop"}[c] }
+func (c closeCause) String() string {
+	return [...]string{"client", "server", "limit", "stop", "ack_timeout"}[c]
+}
 
 // conn is a connection that keeps to the limits of its Tracker. The limits of http.Server
 // cannot be changed while it runs.
@@ -89,6 +94,12 @@
 	closed bool
 	// hijacked is set once a handler has taken over the connection.
 	hijacked bool
+	// acksWatched is set if checkAcks replaces TCP_USER_TIMEOUT.
+	acksWatched bool
+	acks        ackWatch
+	// writing is set during a write, flushing until all that was written is acknowledged.
+	writing  bool
+	flushing bool
 }
 
 // expire ends the connection if it still waits for a request.
@@ -162,7 +173,7 @@
 		c.enter(phaseHeader, limits.Header, limits.Document)
 	case n > 0 && c.ending:
 		c.endWait(c.cause)
-	case err != nil && !c.ending && !errors.Is(err, os.ErrDeadlineExceeded):
+	case err != nil && !c.ending && c.cause != closedByAckTimeout && !errors.Is(err, os.ErrDeadlineExceeded):
 		c.cause = closedByClient
 	}
 	return n, err
@@ -189,16 +200,28 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
+	c.setWriting()
 	n, err := c.TCPConn.Write(b)
-	// The server writes an interim response with a call of its own.
-	if n > 0 && !bytes.HasPrefix(b, []byte("HTTP/1.1 100 ")) {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.answered = true
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = false
+	if n > 0 {
+		c.flushing = true
+		// The server writes an interim response with a call of its own.
+		c.answered = c.answered || !bytes.HasPrefix(b, []byte("HTTP/1.1 100 "))
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.cause = closedByLimit
 	}
 	return n, err
 }
 
+func (c *conn) setWriting() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = true
+}
+
 // Close implements net.Conn. The server closes a connection in this way. If the client may
 // send, or has sent, what is not read, only the sending side is closed at first: the kernel
 // would reset the connection, and drop what is left of the last response.
@@ -212,6 +235,7 @@
 	c.timer.Stop()
 	unread := sockopt.UnreadBytes(c.TCPConn)
 	c.tracker.recordClose(c, unread)
+	c.endAckWatch()
 	if c.hijacked || unread == 0 && !c.endedIdle() {
 		c.tracker.remove(c)
 		return c.TCPConn.Close()
@@ -228,10 +252,12 @@
 func (c *conn) finishClose() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if unread := sockopt.UnreadBytes(c.TCPConn); unread > 0 && c.endedIdle() {
+	if !c.endedIdle() {
+		c.discardUnread()
+	} else if unread := sockopt.UnreadBytes(c.TCPConn); unread > 0 {
+		// It is left unread: the reset tells the client that the request was not taken.
 		c.tracker.recordCrossing(c, unread)
 	}
-	c.discardUnread()
 	c.tracker.remove(c)
 	// The connection has ended; there is nobody to tell.
 	_ = c.TCPConn.Close()
