--- a/internal/adapter/httpconn/drain_test.go
+++ b/internal/adapter/httpconn/drain_test.go
@@ -49,6 +49,12 @@
 // serveIdle starts a server with a tracker, and returns its listener and a connection that
 // waits for its first request.
 func serveIdle(t *testing.T, tracker *Tracker) (net.Listener, net.Conn) {
+	t.Helper()
+	return serveIdleOn(t, tracker, func(l net.Listener) net.Listener { return l })
+}
+
+// serveIdleOn is serveIdle with a listener that wrap returns.
+func serveIdleOn(t *testing.T, tracker *Tracker, wrap func(net.Listener) net.Listener) (net.Listener, net.Conn) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -56,7 +62,7 @@
 	}
 	server := &http.Server{ConnState: tracker.ConnState, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
 	t.Cleanup(func() { _ = server.Close() })
-	go func() { _ = server.Serve(tracker.Listen(listener)) }()
+	go func() { _ = server.Serve(tracker.Listen(wrap(listener))) }()
 	client, err := net.Dial("tcp", listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -156,3 +162,40 @@
 		t.Errorf("response %v, error %v; want an answer", response, err)
 	}
 }
+
+// failingListener accepts one connection and then fails.
+type failingListener struct {
+	net.Listener
+	accepted bool
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.accepted {
+		return nil, errors.New("the listener has failed")
+	}
+	l.accepted = true
+	return l.Listener.Accept()
+}
+
+// Guards against idle connections that stay open until the deadline and are cut then,
+// because their listener failed before its close, which ends the accepts without a report.
+func TestIdleConnectionsEndAlthoughTheListenerFailed(t *testing.T) {
+	const untilDeadline = 3 * time.Second
+	var crossed atomic.Int64
+	tracker := newTestTracker(Limits{Header: time.Minute}, &crossed)
+	listener, client := serveIdleOn(t, tracker, func(l net.Listener) net.Listener { return &failingListener{Listener: l} })
+	stopped := time.Now()
+	ctx, cancel := context.WithDeadline(context.Background(), stopped.Add(untilDeadline))
+	defer cancel()
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		_ = tracker.Drain(ctx, listener, stopped, stopped.Add(untilDeadline/2))
+	}()
+	_ = client.SetReadDeadline(stopped.Add(untilDeadline))
+	_, err := client.Read(make([]byte, 1))
+	if took := time.Since(stopped); !errors.Is(err, io.EOF) || took >= untilDeadline {
+		t.Errorf("the idle client reads error %v after %v, want the end before %v", err, took, untilDeadline)
+	}
+	<-drained
+}
