--- a/internal/edge/frontsync.go
+++ b/internal/edge/frontsync.go
@@ -196,7 +196,8 @@
 	documentChanged := table != next.Table
 	if documentChanged {
 		next.Table = table
-		f.logger.Info("document in force", zap.Uint64("version", table.Document.Version))
+		f.logger.Info("document in force", zap.Uint64("version", table.Document.Version),
+			zap.Duration("header_timeout", table.Document.Limits.HeaderTimeout), zap.Duration("idle_timeout", table.Document.Limits.IdleTimeout))
 	} else if registry == f.registry && !f.weightsPending && slices.Equal(response.GetUnreachableStores(), f.unreachableStores) {
 		f.state.Store(&next)
 		f.applyShares(next, poll)
