Release what has completed since it was quarantined

Change: fronts report completions of quarantined requests and parts too. One that has completed since the leader knows its quarantine, or after all its crashes, is released, and its pending proposal is withdrawn. The time of a completion is kept as long as crashes count, because fronts may report an earlier crash after it.

Measured: TestCompletionReleasesWhatIsQuarantined and TestCompletionBeforeTheQuarantineIsCommitted fail without the release ("released [], want the part") and pass with it. The tests of internal/quarantine and those on the quarantine in internal/edge pass.

--- a/internal/edge/corequarantine.go
+++ b/internal/edge/corequarantine.go
@@ -25,14 +25,11 @@
 	mu       sync.Mutex
 	tracker  *quarantine.Tracker
 	suspects []string
-	// quarantinedSince maps the quarantined requests and parts to the time since which
-	// this leader knows them, on the boot clock.
-	quarantinedSince map[string]time.Duration
 }
 
 // newCrashEvidence returns the evidence of a new leader, given what is quarantined.
 func newCrashEvidence(quarantined []string) *crashEvidence {
-	e := &crashEvidence{tracker: quarantine.NewTracker(), quarantinedSince: make(map[string]time.Duration)}
+	e := &crashEvidence{tracker: quarantine.NewTracker()}
 	e.tracker.SetQuarantined(quarantined)
 	return e
 }
@@ -67,15 +64,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.tracker.SetQuarantined(quarantined)
-	for _, suspect := range quarantined {
-		since, known := e.quarantinedSince[suspect]
-		switch {
-		case !known:
-			e.quarantinedSince[suspect] = now
-		case now-since >= quarantine.Time:
-			release = append(release, suspect)
-			e.tracker.Forget(suspect)
-		}
+	e.tracker.ObserveQuarantine(now)
+	for _, suspect := range e.tracker.QuarantineOver(now) {
+		release = append(release, suspect)
+		e.tracker.Forget(suspect)
 	}
 	for _, suspect := range e.tracker.Released() {
 		release = append(release, suspect)
@@ -85,16 +77,19 @@
 			e.tracker.Forget(suspect)
 		}
 	}
-	for suspect := range e.quarantinedSince {
-		if !slices.Contains(quarantined, suspect) {
-			delete(e.quarantinedSince, suspect)
-		}
-	}
 	add = e.tracker.Due(now)
 	e.suspects = e.tracker.Suspects(now)
 	return add[:min(len(add), max(fleet.MaxQuarantined-len(quarantined), 0))], release
 }
 
+// withoutRefuted returns the elements of the list that have not completed meanwhile. A proposal
+// may take seconds while members of the core are lost.
+func (e *crashEvidence) withoutRefuted(list []string) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.DeleteFunc(list, e.tracker.IsRefuted)
+}
+
 // updateQuarantine changes the quarantined requests and parts while this replica leads. A
 // change that was not committed is proposed again. New suspects are passed on at once, so
 // that fronts hold them back.
@@ -112,7 +107,7 @@
 			suspects = known
 			c.notify()
 		}
-		change.Quarantine = union(change.Quarantine, add)
+		change.Quarantine = leader.evidence.withoutRefuted(union(change.Quarantine, add))
 		change.Release = union(change.Release, release)
 		if len(change.Quarantine) == 0 && len(change.Release) == 0 {
 			continue
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -76,6 +76,11 @@
 	}
 }
 
+// isRefuted reports whether a request with the suspect has completed after all its crashes.
+func (e *evidence) isRefuted() bool {
+	return len(e.sightings) == 0 && e.lastCompletion != math.MinInt64
+}
+
 // couldComplete reports whether the fronts had the time to report completed requests.
 func (e *evidence) couldComplete(now time.Duration) bool {
 	return e.suspectedSince != 0 && now-e.suspectedSince >= completionReportTime
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -17,6 +17,10 @@
 	// explained holds the crashes of engines because of a quarantined part. They say
 	// nothing about other suspects.
 	explained map[crashID]bool
+	// quarantinedSince maps the quarantined requests and parts to the time since which they
+	// are known to be, and cleared holds those that have completed since.
+	quarantinedSince map[string]time.Duration
+	cleared          map[string]bool
 	// lastPartQuarantine is when a part was last found to crash engines.
 	lastPartQuarantine time.Duration
 }
@@ -25,7 +29,7 @@
 func NewTracker() *Tracker {
 	return &Tracker{
 		suspects: make(map[string]*evidence), quarantined: make(map[string]bool), crashes: make(map[string][]time.Duration),
-		explained: make(map[crashID]bool), lastPartQuarantine: math.MinInt64,
+		explained: make(map[crashID]bool), quarantinedSince: make(map[string]time.Duration), cleared: make(map[string]bool), lastPartQuarantine: math.MinInt64,
 	}
 }
 
@@ -101,8 +105,12 @@
 }
 
 // RecordCompletion records that a suspected request, or one with a suspected part, has
-// completed. Crashes before it no longer count.
+// completed. Crashes before it no longer count. What has completed since it was quarantined
+// does not crash engines.
 func (t *Tracker) RecordCompletion(now time.Duration, c Completion) {
+	if since, ok := t.quarantinedSince[c.Suspect]; ok && c.At > since {
+		t.cleared[c.Suspect] = true
+	}
 	e := t.suspects[c.Suspect]
 	if e == nil || c.At <= e.lastCompletion {
 		return
@@ -113,7 +121,7 @@
 }
 
 // Suspects returns the sorted requests and parts of which fronts have to report
-// completions. For the others the time for a decision begins once they are asked for.
+// completions: the suspected and the quarantined ones. For the others the time for a decision begins once they are asked for.
 func (t *Tracker) Suspects(now time.Duration) []string {
 	var requests, parts []string
 	for suspect, e := range t.suspects {
@@ -125,7 +133,7 @@
 			parts = append(parts, suspect)
 		}
 	}
-	list := append(t.mostSuspected(now, requests), t.mostSuspected(now, parts)...)
+	list := slices.Concat(t.mostSuspected(now, requests), t.mostSuspected(now, parts), t.latestQuarantined())
 	slices.Sort(list)
 	return list
 }
@@ -192,7 +200,8 @@
 			e.sightings = without(e.sightings, func(s sighting) bool { return now-s.at > evidenceLifetime })
 			e.updateSuspicion(now)
 		}
-		if len(e.sightings) == 0 {
+		// A completion is kept as long as crashes, as fronts may report an earlier crash later.
+		if len(e.sightings) == 0 && (!e.isRefuted() || now-e.lastCompletion > evidenceLifetime) {
 			delete(t.suspects, suspect)
 		}
 	}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -186,12 +186,12 @@
 	return clear
 }
 
-// Released returns what was quarantined by mistake: another quarantined request or part
-// was in all of its crashes and in more.
+// Released returns what was quarantined by mistake: it has completed since, or another
+// quarantined request or part was in all of its crashes and in more.
 func (t *Tracker) Released() []string {
 	var list []string
 	for suspect := range t.quarantined {
-		if e := t.suspects[suspect]; e != nil && t.isExplained(suspect, e) {
+		if e := t.suspects[suspect]; t.cleared[suspect] || t.IsRefuted(suspect) || e != nil && t.isExplained(suspect, e) {
 			list = append(list, suspect)
 		}
 	}
