Try what is quarantined again with one request

Cause: nothing could show that a request or part is sound once it was quarantined, because no request with it ran.

--- a/internal/proxy/admission.go
+++ b/internal/proxy/admission.go
@@ -43,7 +43,7 @@
 	if c.comesTooLate() {
 		return &errStopping
 	}
-	if refused := c.quarantined(); refused != nil {
+	if refused := c.admitQuarantined(); refused != nil {
 		return refused
 	}
 	c.Budget.RecordRequest(c.service, c.started)
