Don't count a link that resets connections as crashed engines

Cause: a front takes an engine for crashed if a probe fails after requests have broken off there.

Change: a probe that is reset is repeated up to twice. If all are reset, something still accepts connections, and no crash is reported. The port of an engine that has ended refuses.

Measured: TestWhatCountsAsACrash has two more cases, a link that resets connections and an engine that ends with connections to accept. Without the change: "behind a link that resets connections: 2 crashes are reported, want 0".

--- a/internal/edge/frontquarantine.go
+++ b/internal/edge/frontquarantine.go
@@ -5,6 +5,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,6 +23,11 @@
 // before the engine is probed.
 const crashGatherTime = 30 * time.Millisecond
 
+// maxResetProbes is the number of probes that may be reset until the engine no longer counts as
+// crashed. A process that ends resets the connections that it had not accepted, but its port
+// refuses the next one. A faulty link resets all of them.
+const maxResetProbes = 3
+
 // frontQuarantine implements proxy.Quarantine. A request that breaks off says that its
 // engine has crashed only if the engine cannot be reached afterwards.
 type frontQuarantine struct {
@@ -84,7 +90,7 @@
 // verifyCrash records a crash if the target cannot be reached.
 func (q *frontQuarantine) verifyCrash(t placement.Target, at time.Duration) {
 	pause.For(q.ctx, crashGatherTime)
-	err := q.probe(q.ctx, t.Address)
+	err := q.probeUntilKnown(t.Address)
 	q.mu.Lock()
 	ended := q.ended[t.ID]
 	delete(q.ended, t.ID)
@@ -96,7 +102,7 @@
 		q.recordComplete(ended)
 		return
 	}
-	if q.leaves != nil && q.leaves(t.ID) {
+	if isReset(err) || q.leaves != nil && q.leaves(t.ID) {
 		return
 	}
 	requests := make([]quarantine.SentRequest, 0, len(ended))
@@ -107,6 +113,18 @@
 	q.RecordCrash(t.ID+"/"+strconv.FormatInt(t.Started, 10), at, requests, isUnresponsive(err))
 }
 
+// probeUntilKnown probes a target until the result is no reset, or maxResetProbes times.
+func (q *frontQuarantine) probeUntilKnown(address string) error {
+	err := q.probe(q.ctx, address)
+	for n := 1; n < maxResetProbes && isReset(err) && pause.For(q.ctx, crashGatherTime); n++ {
+		err = q.probe(q.ctx, address)
+	}
+	return err
+}
+
+// isReset reports whether a probe failed because its connection was reset.
+func isReset(err error) bool { return errors.Is(err, syscall.ECONNRESET) }
+
 // recordComplete records the requests that are complete because their engine is still there.
 func (q *frontQuarantine) recordComplete(ended []endedRequest) {
 	for _, r := range ended {
--- a/internal/edge/frontquarantine_test.go
+++ b/internal/edge/frontquarantine_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"net"
 	"os"
 	"slices"
 	"strconv"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -16,33 +19,41 @@
 	"github.com/cuminwing/cuminwing/internal/quarantine"
 )
 
-// Guards against engines that have left, or whose link is lost, taken for engines that a
+// Guards against engines that have left, or whose link is lost or resets connections, taken for engines that a
 // request has crashed, and against a response that looks complete because its engine has
 // crashed.
 func TestWhatCountsAsACrash(t *testing.T) {
 	refused := errors.New("connection refused")
+	reset := error(&net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", syscall.ECONNRESET)})
 	tests := []struct {
-		name                     string
-		probe                    error
+		name string
+		// probes are the results of the probes of an engine; the last one stays.
+		probes                   []error
 		leaves                   bool
 		wantCrashes              int
 		wantResent, wantComplete bool
 	}{
-		{"reachable", nil, false, 0, false, true},
-		{"crashed", refused, false, 2, true, false},
-		{"left", refused, true, 0, false, false},
-		{"unresponsive", os.ErrDeadlineExceeded, false, 2, false, false},
+		{"reachable", []error{nil}, false, 0, false, true},
+		{"crashed", []error{refused}, false, 2, true, false},
+		{"left", []error{refused}, true, 0, false, false},
+		{"crashed while it had connections to accept", []error{reset, refused}, false, 2, true, false},
+		{"behind a link that resets connections", []error{reset}, false, 0, false, false},
+		{"unresponsive", []error{os.ErrDeadlineExceeded}, false, 2, false, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			q := newFrontQuarantine(func(context.Context, string) error { return tt.probe }, zap.NewNop())
+			probed := map[string]*atomic.Int64{"a": {}, "b": {}}
+			q := newFrontQuarantine(func(_ context.Context, address string) error {
+				n := int(probed[address].Add(1))
+				return tt.probes[min(n, len(tt.probes))-1]
+			}, zap.NewNop())
 			q.leaves = func(string) bool { return tt.leaves }
 			ended := quarantine.Request{Key: quarantine.RequestKey("ended")}
 			for _, engine := range []string{"a", "b"} {
-				target := placement.Target{ID: engine}
+				target := placement.Target{ID: engine, Address: engine}
 				q.RecordBroken(target, quarantine.Request{Key: quarantine.RequestKey("broken")}, boottime.Now())
 				q.RecordEnded(target, ended, boottime.Now())
-				time.Sleep(4 * crashGatherTime)
+				time.Sleep(6 * crashGatherTime)
 			}
 			q.Confirm(quarantine.Report{}, false, []string{ended.Key})
 			report := q.Report()
