Report the completions of what was in crashes with the crashes

Cause: fronts reported completions only of what the leader had told them it suspects. A leader that got several crashes in one report, after an interruption of the core, had no completions between them, and quarantined sound parts a second later if the next report was delayed.

Change: a report of crashes has the last completions of the requests and parts in them too, up to 256.

Measured: TestCrashesAreReportedWithCompletions without the change: "due [sound], want none".

--- a/internal/quarantine/observer.go
+++ b/internal/quarantine/observer.go
@@ -19,6 +19,9 @@
 	// maxReportBytes limits the names in one report of crashes. The rest is in the
 	// next report.
 	maxReportBytes = 256 << 10
+	// maxCrashNames limits the requests and parts in crashes whose completions are in one
+	// report.
+	maxCrashNames = 256
 	// reportLifetime is how long a front keeps the crashes that it has reported.
 	reportLifetime = time.Minute
 )
@@ -216,7 +219,7 @@
 }
 
 // Report returns the crashes that the leader does not know, and the completions of
-// suspects.
+// suspects and of what was in these crashes.
 func (o *Observer) Report() Report {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -225,14 +228,32 @@
 	unreported := o.crashes[len(o.crashes)-min(o.recorded-o.reported, len(o.crashes)):]
 	included := withinReportSize(unreported)
 	r := Report{Crashes: slices.Clone(unreported[:included]), recorded: o.recorded - (len(unreported) - included)}
-	for _, suspect := range o.suspects {
-		if at, ok := o.completed[suspect]; ok && now-at <= evidenceLifetime {
-			r.Completions = append(r.Completions, Completion{suspect, at})
+	for _, name := range o.reportedNames(r.Crashes) {
+		if at, ok := o.completed[name]; ok && now-at <= evidenceLifetime {
+			r.Completions = append(r.Completions, Completion{name, at})
 		}
 	}
 	return r
 }
 
+// reportedNames returns the suspects, and up to maxCrashNames of the other requests and parts in
+// crashes that have completed. The leader suspects some of these once it has the report, and
+// need not hear from this front again before it decides.
+func (o *Observer) reportedNames(crashes []Crash) []string {
+	var names []string
+	for _, c := range crashes {
+		for _, r := range c.Requests {
+			names = append(names, r.suspects()...)
+		}
+	}
+	names = slices.DeleteFunc(names, func(name string) bool { return o.completed[name] == 0 })
+	slices.Sort(names)
+	names = slices.Compact(names)
+	names = append(names[:min(len(names), maxCrashNames)], o.suspects...)
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // withinReportSize returns how many of the crashes fit into one report.
 func withinReportSize(crashes []Crash) int {
 	size := 0
--- a/internal/quarantine/observer_test.go
+++ b/internal/quarantine/observer_test.go
@@ -132,3 +132,27 @@
 		t.Errorf("reported completions %v, want none", r.Completions)
 	}
 }
+
+// Guards against a sound part that is quarantined because the leader has the crashes of a front,
+// but not the completions between them, of which it asks only once it suspects the part.
+func TestCrashesAreReportedWithCompletions(t *testing.T) {
+	o, now := newTestObserver()
+	tracker := NewTracker()
+	for i := range minPartCrashes + 1 {
+		parts := []string{"sound", fmt.Sprint("other-", i)}
+		o.RecordCrash(fmt.Sprint(i), *now, []SentRequest{{Request: Request{Key: RequestKey(fmt.Sprint(i)), Parts: parts}}}, false)
+		*now += distinctCrashTime / 2
+		o.RecordCompletion(Request{Key: RequestKey(fmt.Sprint("completed-", i)), Parts: parts[:1]})
+		*now += distinctCrashTime
+	}
+	report := o.Report()
+	for _, c := range report.Crashes {
+		tracker.RecordCrash(*now, c)
+	}
+	for _, c := range report.Completions {
+		tracker.RecordCompletion(*now, c)
+	}
+	if got := tracker.Due(*now + 2*completionReportTime); got != nil {
+		t.Errorf("due %q, want none", got)
+	}
+}
