--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -17,6 +17,12 @@
 	// explained holds the crashes of engines because of a quarantined part. They say
 	// nothing about other suspects.
 	explained map[crashID]bool
+	// quarantinedSince maps the quarantined requests and parts to the time since which they
+	// are known to be, and cleared holds those that have completed since. trials holds their
+	// open trials.
+	quarantinedSince map[string]time.Duration
+	cleared          map[string]bool
+	trials           trials
 	// lastPartQuarantine is when a part was last found to crash engines.
 	lastPartQuarantine time.Duration
 }
@@ -25,7 +31,8 @@
 func NewTracker() *Tracker {
 	return &Tracker{
 		suspects: make(map[string]*evidence), quarantined: make(map[string]bool), crashes: make(map[string][]time.Duration),
-		explained: make(map[crashID]bool), lastPartQuarantine: math.MinInt64,
+		trials:    newTrials(),
+		explained: make(map[crashID]bool), quarantinedSince: make(map[string]time.Duration), cleared: make(map[string]bool), lastPartQuarantine: math.MinInt64,
 	}
 }
 
@@ -40,6 +47,7 @@
 // RecordCrash records a crash. Several fronts report the same one.
 func (t *Tracker) RecordCrash(now time.Duration, c Crash) {
 	id := t.identify(c)
+	t.trials.recordCrash(c)
 	if slices.ContainsFunc(c.Requests, t.hasQuarantinedPart) {
 		t.explain(id)
 	}
@@ -77,8 +85,10 @@
 	return first
 }
 
+// hasQuarantinedPart reports whether a request has a part that explains a crash with it. A part
+// on trial does not, as the request may have another one that does.
 func (t *Tracker) hasQuarantinedPart(r BrokenRequest) bool {
-	return slices.ContainsFunc(r.Parts, func(part string) bool { return t.quarantined[part] })
+	return slices.ContainsFunc(r.Parts, func(part string) bool { return t.quarantined[part] && !t.trials.isOpen(part) })
 }
 
 func (t *Tracker) recordSuspect(now time.Duration, id crashID, at time.Duration, suspect string, depth int, r BrokenRequest) {
@@ -101,8 +111,12 @@
 }
 
 // RecordCompletion records that a suspected request, or one with a suspected part, has
-// completed. Crashes before it no longer count.
+// completed. Crashes before it no longer count. What has completed since it was quarantined
+// does not crash engines.
 func (t *Tracker) RecordCompletion(now time.Duration, c Completion) {
+	if since, ok := t.quarantinedSince[c.Suspect]; ok && c.At > since {
+		t.cleared[c.Suspect] = true
+	}
 	e := t.suspects[c.Suspect]
 	if e == nil || c.At <= e.lastCompletion {
 		return
@@ -113,7 +127,7 @@
 }
 
 // Suspects returns the sorted requests and parts of which fronts have to report
-// completions. For the others the time for a decision begins once they are asked for.
+// completions: the suspected and the quarantined ones. For the others the time for a decision begins once they are asked for.
 func (t *Tracker) Suspects(now time.Duration) []string {
 	var requests, parts []string
 	for suspect, e := range t.suspects {
@@ -125,7 +139,7 @@
 			parts = append(parts, suspect)
 		}
 	}
-	list := append(t.mostSuspected(now, requests), t.mostSuspected(now, parts)...)
+	list := slices.Concat(t.mostSuspected(now, requests), t.mostSuspected(now, parts), t.latestQuarantined())
 	slices.Sort(list)
 	return list
 }
@@ -192,7 +206,8 @@
 			e.sightings = without(e.sightings, func(s sighting) bool { return now-s.at > evidenceLifetime })
 			e.updateSuspicion(now)
 		}
-		if len(e.sightings) == 0 {
+		// A completion is kept as long as crashes, as fronts may report an earlier crash later.
+		if len(e.sightings) == 0 && (!e.isRefuted() || now-e.lastCompletion > evidenceLifetime) {
 			delete(t.suspects, suspect)
 		}
 	}
--- /dev/null
+++ b/internal/quarantine/trial.go
@@ -0,0 +1,217 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// Trial is what the registry holds about the trials of a quarantined request or part, in which
+// one request shows whether it still crashes engines.
+type Trial struct {
+	// Open is set while fronts may send a request for the trial.
+	Open bool `json:"open,omitempty"`
+	// Failed is the number of trials that ended with the crash of an engine.
+	Failed int `json:"failed,omitempty"`
+}
+
+const (
+	// maxFailedTrials is the number of trials after which a request stays quarantined, and
+	// maxFailedPartTrials applies to parts, which fatal requests may have by chance. Each trial
+	// of a fatal one crashes an engine.
+	maxFailedTrials     = 1
+	maxFailedPartTrials = 2
+	// maxExplainedTrials is the number of trials of what was only in crashes, also in those of
+	// its trials, that others explain.
+	maxExplainedTrials = 4
+	// trialDelay is how long something is quarantined before its first trial, and retrialDelay
+	// the time after a failed one.
+	trialDelay   = time.Second
+	retrialDelay = 4 * time.Second
+	// quietTime is the time without crashes before trials begin. Beside requests that crash
+	// engines, a trial would break off with them.
+	quietTime = 2 * time.Second
+	// At most maxNewTrials trials begin within trialInterval, because those of fatal requests
+	// take engines out of service until they have restarted.
+	maxNewTrials  = 2
+	trialInterval = 3 * time.Second
+)
+
+// trials is what a leader knows about the trials that are open.
+type trials struct {
+	// openSince maps what is on trial to the time since which it may be. failed holds what
+	// was in a crash since.
+	openSince map[string]time.Duration
+	failed    map[string]bool
+	// endedAt maps what is quarantined to the time at which its last trial failed.
+	endedAt map[string]time.Duration
+	// lastCrash is the time of the last crash of an engine, and opened holds the times at
+	// which the latest trials were opened.
+	lastCrash time.Duration
+	opened    []time.Duration
+}
+
+func newTrials() trials {
+	return trials{
+		openSince: make(map[string]time.Duration), failed: make(map[string]bool), endedAt: make(map[string]time.Duration),
+		lastCrash: math.MinInt64 / 2,
+	}
+}
+
+// isOpen reports whether something is on trial.
+func (t *trials) isOpen(suspect string) bool {
+	_, open := t.openSince[suspect]
+	return open
+}
+
+// recordCrash notes which trials have failed.
+func (t *trials) recordCrash(c Crash) {
+	t.lastCrash = max(t.lastCrash, c.At)
+	for _, r := range c.Requests {
+		for _, suspect := range r.suspects() {
+			if since, open := t.openSince[suspect]; open && c.At > since {
+				t.failed[suspect] = true
+			}
+		}
+	}
+}
+
+// suspects returns the key and the parts of a request.
+func (r Request) suspects() []string { return append([]string{r.Key}, r.Parts...) }
+
+// observe updates the open trials, given those of the registry.
+func (t *trials) observe(now time.Duration, registered map[string]Trial) {
+	for suspect, trial := range registered {
+		if _, known := t.openSince[suspect]; trial.Open && !known {
+			t.openSince[suspect] = now
+		}
+	}
+	for suspect := range t.openSince {
+		if !registered[suspect].Open {
+			if t.failed[suspect] {
+				t.endedAt[suspect] = now
+			}
+			delete(t.openSince, suspect)
+			delete(t.failed, suspect)
+		}
+	}
+	maps.DeleteFunc(t.endedAt, func(_ string, at time.Duration) bool { return now-at > retrialDelay })
+	t.opened = slices.DeleteFunc(t.opened, func(at time.Duration) bool { return now-at > trialInterval })
+}
+
+// TrialChanges returns what gets a trial, and whose trial has failed, given the trials of the
+// registry.
+func (t *Tracker) TrialChanges(now time.Duration, registered map[string]Trial) (open, failed []string) {
+	t.trials.observe(now, registered)
+	failed = slices.Sorted(maps.Keys(t.trials.failed))
+	if now-t.trials.lastCrash < quietTime {
+		return nil, failed
+	}
+	var waiting []string
+	for suspect := range t.quarantinedSince {
+		if t.awaitsTrial(now, suspect, registered[suspect]) {
+			waiting = append(waiting, suspect)
+		}
+	}
+	slices.SortFunc(waiting, func(a, b string) int {
+		return cmp.Or(cmp.Compare(registered[a].Failed, registered[b].Failed), cmp.Compare(t.ownCrashes(a), t.ownCrashes(b)), cmp.Compare(a, b))
+	})
+	open = waiting[:min(len(waiting), max(maxNewTrials-len(t.trials.opened), 0))]
+	for _, suspect := range open {
+		t.trials.openSince[suspect] = now
+		t.trials.opened = append(t.trials.opened, now)
+	}
+	return open, failed
+}
+
+// awaitsTrial reports whether a quarantined request or part is to be tried at present.
+func (t *Tracker) awaitsTrial(now time.Duration, suspect string, trial Trial) bool {
+	if trial.Open || now-t.quarantinedSince[suspect] < trialDelay {
+		return false
+	}
+	if endedAt, ended := t.trials.endedAt[suspect]; ended && now-endedAt < retrialDelay {
+		return false
+	}
+	return t.isDoubtful(suspect, trial.Failed)
+}
+
+// isDoubtful reports whether a quarantined request or part may be sound, given the number of
+// its failed trials. A request that was in enough crashes by itself is not, as its trial would
+// only crash one more engine. Crashes of a part say less, as fatal requests and parts that are
+// quarantined with it cannot be told from it.
+func (t *Tracker) isDoubtful(suspect string, failedTrials int) bool {
+	own, isRequest := t.ownCrashes(suspect), IsRequestKey(suspect)
+	if isRequest && failedTrials < maxFailedTrials {
+		return own < minRequestCrashes
+	}
+	if !isRequest && failedTrials < maxFailedPartTrials {
+		return true
+	}
+	return failedTrials < maxExplainedTrials && own == 0 && t.suspects[suspect] != nil
+}
+
+// ownCrashes returns the number of crashes that a quarantined request or part was in without
+// another one that is quarantined.
+func (t *Tracker) ownCrashes(suspect string) int {
+	e := t.suspects[suspect]
+	if e == nil {
+		return 0
+	}
+	return distinctCrashes(without(e.sightings, func(s sighting) bool {
+		for other := range t.quarantined {
+			if o := t.suspects[other]; other != suspect && o != nil && o.inCrash(s.crash) {
+				return true
+			}
+		}
+		return t.explained[s.crash]
+	}))
+}
+
+// ObserveQuarantine notes since when the quarantined requests and parts are known to be.
+func (t *Tracker) ObserveQuarantine(now time.Duration) {
+	for suspect := range t.quarantined {
+		if _, known := t.quarantinedSince[suspect]; !known {
+			t.quarantinedSince[suspect] = now
+		}
+	}
+	for suspect := range t.quarantinedSince {
+		if !t.quarantined[suspect] {
+			delete(t.quarantinedSince, suspect)
+			delete(t.cleared, suspect)
+		}
+	}
+}
+
+// IsRefuted reports whether a request or part has completed after all its crashes, so that it
+// must not be quarantined because of them.
+func (t *Tracker) IsRefuted(suspect string) bool {
+	e := t.suspects[suspect]
+	return e != nil && e.isRefuted()
+}
+
+// IsCleared reports whether a quarantined request or part has completed since its quarantine or
+// its crashes.
+func (t *Tracker) IsCleared(suspect string) bool { return t.cleared[suspect] || t.IsRefuted(suspect) }
+
+// QuarantineOver returns the sorted requests and parts that were quarantined long enough.
+func (t *Tracker) QuarantineOver(now time.Duration) []string {
+	var over []string
+	for suspect, since := range t.quarantinedSince {
+		if now-since >= Time {
+			over = append(over, suspect)
+		}
+	}
+	slices.Sort(over)
+	return over
+}
+
+// latestQuarantined returns up to maxSuspects of the quarantined requests and parts, those
+// that were quarantined last.
+func (t *Tracker) latestQuarantined() []string {
+	list := slices.SortedFunc(maps.Keys(t.quarantinedSince), func(a, b string) int {
+		return cmp.Or(cmp.Compare(t.quarantinedSince[b], t.quarantinedSince[a]), cmp.Compare(a, b))
+	})
+	return list[:min(len(list), maxSuspects)]
+}
--- /dev/null
+++ b/internal/quarantine/trial_test.go
@@ -0,0 +1,238 @@
+package quarantine
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// Guards against a sound part that stays quarantined although requests with it that were sent
+// before have completed since (soak, seed 11).
+func TestCompletionReleasesWhatIsQuarantined(t *testing.T) {
+	tracker := NewTracker()
+	for i := range minPartCrashes {
+		crash(tracker, fmt.Sprint(i), float64(i), "sound")
+	}
+	const quarantinedAt = 6 * time.Second
+	if got := tracker.Due(quarantinedAt); !slices.Equal(got, []string{"sound"}) {
+		t.Fatalf("due %q, want the part", got)
+	}
+	tracker.SetQuarantined([]string{"sound"})
+	tracker.ObserveQuarantine(quarantinedAt)
+	if got := tracker.Suspects(quarantinedAt); !slices.Equal(got, []string{"sound"}) {
+		t.Fatalf("fronts report completions of %q, want those of the quarantined part too", got)
+	}
+	tracker.RecordCompletion(quarantinedAt, Completion{"sound", quarantinedAt - 10*time.Second})
+	if got := tracker.Released(); got != nil {
+		t.Errorf("released %q after a completion from before the quarantine, want none", got)
+	}
+	tracker.RecordCompletion(7*time.Second, Completion{"sound", quarantinedAt + time.Millisecond})
+	if got := tracker.Released(); !slices.Equal(got, []string{"sound"}) {
+		t.Errorf("released %q, want the part", got)
+	}
+}
+
+// Guards against a part that stays quarantined although it had completed after its crashes,
+// while its quarantine was being committed, and against evidence from before that completion
+// which is reported after it (soak, seed 11).
+func TestCompletionBeforeTheQuarantineIsCommitted(t *testing.T) {
+	tracker := NewTracker()
+	for i := range minPartCrashes {
+		crash(tracker, fmt.Sprint(i), float64(i), "sound")
+	}
+	if got := tracker.Due(6 * time.Second); !slices.Equal(got, []string{"sound"}) {
+		t.Fatalf("due %q, want the part", got)
+	}
+	tracker.RecordCompletion(6*time.Second, Completion{"sound", 5 * time.Second})
+	if !tracker.IsRefuted("sound") {
+		t.Error("the part has completed after its crashes, but its quarantine would be proposed again")
+	}
+	tracker.Due(7 * time.Second)
+	for i := range minPartCrashes {
+		crash(tracker, fmt.Sprint("late ", i), float64(i), "sound")
+	}
+	tracker.SetQuarantined([]string{"sound"})
+	tracker.ObserveQuarantine(8 * time.Second)
+	if got := tracker.Released(); !slices.Equal(got, []string{"sound"}) {
+		t.Errorf("released %q, want the part", got)
+	}
+}
+
+// newQuarantinedTracker returns a tracker of what is quarantined since one second.
+func newQuarantinedTracker(suspects ...string) *Tracker {
+	tracker := NewTracker()
+	tracker.SetQuarantined(suspects)
+	tracker.ObserveQuarantine(time.Second)
+	return tracker
+}
+
+// Guards against sound requests that stay rejected for an hour because nothing can show that
+// they are sound once they are quarantined, and against trials beside crashes.
+func TestTrialOfASoundRequest(t *testing.T) {
+	sound := RequestKey("sound")
+	tracker := newQuarantinedTracker(sound)
+	if open, _ := tracker.TrialChanges(1500*time.Millisecond, nil); open != nil {
+		t.Errorf("trial of %q 0.5 s after the quarantine, want none yet", open)
+	}
+	crashOf(tracker, "0", 2, request("other"))
+	if open, _ := tracker.TrialChanges(3500*time.Millisecond, nil); open != nil {
+		t.Errorf("trial of %q 1.5 s after a crash, want none yet", open)
+	}
+	if open, _ := tracker.TrialChanges(5*time.Second, nil); !slices.Equal(open, []string{sound}) {
+		t.Fatalf("trial of %q, want the request", open)
+	}
+	tracker.RecordCompletion(6*time.Second, Completion{sound, 6 * time.Second})
+	if got := tracker.Released(); !slices.Equal(got, []string{sound}) || !tracker.IsCleared(sound) {
+		t.Errorf("released %q, want the request that has completed in its trial", got)
+	}
+}
+
+// Guards against a fatal request that is tried again and again.
+func TestTrialOfAFatalRequest(t *testing.T) {
+	fatal := RequestKey("fatal")
+	tracker := newQuarantinedTracker(fatal)
+	now := 3 * time.Second
+	registered := make(map[string]Trial)
+	for n := range 2 * maxFailedTrials {
+		now += retrialDelay / 2
+		if n > 0 {
+			if open, _ := tracker.TrialChanges(now, registered); open != nil {
+				t.Fatalf("trial of %q %v after a failed one, want none yet", open, retrialDelay/2)
+			}
+		}
+		now += retrialDelay
+		open, _ := tracker.TrialChanges(now, registered)
+		if n >= maxFailedTrials {
+			if open != nil {
+				t.Fatalf("trial of %q after %d failed ones", open, n)
+			}
+			continue
+		}
+		if !slices.Equal(open, []string{fatal}) {
+			t.Fatalf("trial of %q, want the request", open)
+		}
+		registered[fatal] = Trial{Open: true, Failed: n}
+		crashOf(tracker, fmt.Sprint(n), now.Seconds()+0.5, request("fatal"))
+		if _, failed := tracker.TrialChanges(now+time.Second, registered); !slices.Equal(failed, []string{fatal}) {
+			t.Fatalf("failed trials %q, want that of the request", failed)
+		}
+		registered[fatal] = Trial{Failed: n + 1}
+	}
+}
+
+// Guards against trials of many fatal requests that take all engines of a service out of
+// service at once.
+func TestFewTrialsBeginAtATime(t *testing.T) {
+	var suspects []string
+	for i := range 5 * maxNewTrials {
+		suspects = append(suspects, RequestKey(fmt.Sprint(i)))
+	}
+	tracker := newQuarantinedTracker(suspects...)
+	registered := make(map[string]Trial)
+	for i := range 4 {
+		now := 3*time.Second + time.Duration(i)*trialInterval/4
+		open, _ := tracker.TrialChanges(now, registered)
+		for _, suspect := range open {
+			registered[suspect] = Trial{Open: true}
+		}
+	}
+	if len(registered) != maxNewTrials {
+		t.Errorf("%d trials began within %v, want %d", len(registered), trialInterval, maxNewTrials)
+	}
+}
+
+// Guards against a trial in which several requests of one front crash engines, one that hangs
+// because its request has neither completed nor crashed an engine, and one that shows nothing
+// because another quarantined suspect was in it.
+func TestFrontSendsOneRequestForATrial(t *testing.T) {
+	o, now := newTestObserver()
+	r := Request{Key: RequestKey("r"), Parts: []string{"part"}}
+	o.SetQuarantined([]string{r.Key})
+	if o.StartTrial(r) {
+		t.Error("a request is sent without a trial")
+	}
+	o.SetTrials([]string{r.Key}, 1)
+	*now += trialSpread
+	if !o.StartTrial(r) {
+		t.Fatal("no request is sent for the trial")
+	}
+	if o.StartTrial(r) {
+		t.Error("a second request is sent at the same time")
+	}
+	*now += trialRenewal
+	if !o.StartTrial(r) {
+		t.Error("no further request is sent although the first one showed nothing")
+	}
+	o.RecordCrash("engine", *now, []SentRequest{{Request: r}}, false)
+	*now += trialRenewal
+	if o.StartTrial(r) {
+		t.Error("a request is sent after one has crashed an engine")
+	}
+	o.SetTrials(nil, 1)
+	o.SetQuarantined([]string{r.Key, "part"})
+	o.SetTrials([]string{r.Key, "part"}, 1)
+	*now += trialSpread
+	if o.StartTrial(r) {
+		t.Error("a request is sent for two trials at once")
+	}
+	if !o.StartTrial(Request{Key: RequestKey("other"), Parts: r.Parts}) {
+		t.Error("no request is sent for the trial of the part")
+	}
+}
+
+// Guards against a trial that crashes one more engine although it is known what crashes them,
+// and against a request without a trial although others explain its crashes.
+func TestOnlyDoubtfulSuspectsAreTried(t *testing.T) {
+	tracker := NewTracker()
+	fatal, sound := RequestKey("fatal"), RequestKey("sound")
+	for i := range 2 * minRequestCrashes {
+		crashOf(tracker, fmt.Sprint(i), float64(i), request("fatal"))
+		if i < minRequestCrashes {
+			crashOf(tracker, fmt.Sprint(i), float64(i), request("sound"))
+		}
+	}
+	tracker.SetQuarantined([]string{fatal, sound})
+	tracker.ObserveQuarantine(6 * time.Second)
+	if open, _ := tracker.TrialChanges(9*time.Second, nil); !slices.Equal(open, []string{sound}) {
+		t.Errorf("trial of %q, want that of the request which another one explains", open)
+	}
+	tracker.dropExpired(10*time.Second + evidenceLifetime)
+	if open, _ := tracker.TrialChanges(10*time.Second+evidenceLifetime, nil); !slices.Equal(open, []string{fatal, sound}) {
+		t.Errorf("trial of %q, want both once their crashes no longer count", open)
+	}
+}
+
+// Guards against a fatal part that stays hidden behind a sound one that is quarantined, because
+// each trial of the sound part fails and counts against that part only (soak, seed 11).
+func TestTrialOfAPartIsEvidenceAgainstOthers(t *testing.T) {
+	tracker := newQuarantinedTracker("sound")
+	registered := map[string]Trial{"sound": {Open: true}}
+	now := 3 * time.Second
+	for n := range minPartCrashes {
+		now += 5 * time.Second
+		tracker.TrialChanges(now, registered)
+		crash(tracker, fmt.Sprint(n), now.Seconds()+0.5, "fatal", "sound")
+	}
+	if got := tracker.Due(now + 2*time.Second); !slices.Equal(got, []string{"fatal"}) {
+		t.Errorf("due %q, want the fatal part", got)
+	}
+}
+
+// Guards against a trial of a part with a request that has another suspect, which a front has
+// seen in a crash: its result would count against the part.
+func TestTrialAvoidsOtherSuspects(t *testing.T) {
+	o, now := newTestObserver()
+	o.SetQuarantined([]string{"sound"})
+	o.SetTrials([]string{"sound"}, 1)
+	r := Request{Key: RequestKey("r"), Parts: []string{"sound", "other"}}
+	o.RecordCrash("engine", *now, []SentRequest{{Request: Request{Key: RequestKey("before"), Parts: r.Parts[1:]}}}, false)
+	*now += trialSpread
+	if o.StartTrial(r) {
+		t.Error("a request with a part that was in a crash is sent for the trial of another one")
+	}
+	o.RecordCompletion(Request{Key: RequestKey("later"), Parts: r.Parts[1:]})
+	if !o.StartTrial(r) {
+		t.Error("no request is sent although its other part has completed since the crash")
+	}
+}
