Let simulated engines refuse, pause and leave

Cause: the engines of internal/standin accepted every request. They could announce that they leave, but not say so in a response, and could not ask for a pause, so nothing that uses them met such an engine.

Change: EngineOptions.Admission refuses requests with status 503, with or without Retry-After between two bounds, and lets an engine begin to leave with a refusal and say so in its responses. Connections stay open.

Measured: go test ./internal/standin passes; TestEngineKeepsRequestsAway sends 20 requests to each of five engines and checks the answers and that the connection is used again.

--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -41,6 +41,8 @@
 	Cache CacheOptions
 	// OrderHandling configures how the engine handles orders to load weights.
 	OrderHandling OrderOptions
+	// Admission configures which requests the engine refuses.
+	Admission AdmissionOptions
 }
 
 // Engine is a simulated model engine. Its responses depend on the request only,
@@ -182,6 +184,9 @@
 	if e.faults.writeErrorStatus(w) {
 		return
 	}
+	if e.options.Admission.writeAdmission(w, &e.leaving) {
+		return
+	}
 	release, cached, ok := e.kv.admit(r, len(req.Messages)+len(req.Prompt))
 	if !ok {
 		return
