Round the Retry-After of refusals up

Cause: the time was rounded to the nearest hundredth of a second. A caller that came back at that time could arrive up to 5 ms before the end of the pause and was refused again; a wait of less than 5 ms became "0.00", which tells the caller to return at once.

Change: the time is rounded up.

--- a/internal/proxy/refusal.go
+++ b/internal/proxy/refusal.go
@@ -22,7 +22,7 @@
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	if f.retryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 2, 64))
+		h.Set("Retry-After", formatRetryAfter(f.retryAfter))
 	}
 	body, err := json.Marshal(map[string]string{"error": f.code, "request": id})
 	if err != nil {
@@ -34,6 +34,18 @@
 	_, _ = w.Write(body)
 }
 
+// retryAfterUnit is the precision of Retry-After headers.
+const retryAfterUnit = 10 * time.Millisecond
+
+// formatRetryAfter returns wait in seconds, rounded up: a caller that returns a moment
+// before the end of a pause is refused again.
+func formatRetryAfter(wait time.Duration) string {
+	if rest := wait % retryAfterUnit; rest > 0 {
+		wait += retryAfterUnit - rest
+	}
+	return strconv.FormatFloat(wait.Seconds(), 'f', 2, 64)
+}
+
 const (
 	// targetRetryAfter is the Retry-After value while targets are overloaded or
 	// none is known.
