Keep names of the platform out of the simulated engines

The headers in which simulated engines say that they leave or have not run a request were those of the platform, which only platform/ may name. They are options now; the tests use names of their own and check the same as before.

--- a/internal/standin/admission.go
+++ b/internal/standin/admission.go
@@ -21,16 +21,18 @@
 	MinPause, MaxPause time.Duration
 	// LeaveChance is the probability that the engine begins to leave with a refusal.
 	LeaveChance float64
-	// AnnounceInResponses adds to all responses of an engine that leaves that it does.
-	AnnounceInResponses bool
+	// LeavingHeader is the header that all responses of an engine that leaves have, and
+	// NotRunHeader that of refusals, whose request has not run. They are left out if empty.
+	LeavingHeader, NotRunHeader string
 }
 
-const (
-	headerRetryAfter    = "Retry-After"
-	headerServerLeaving = "Server-Leaving"
-	// headerNotExecuted is set in refusals: the request has not run.
-	headerNotExecuted = "Not-Executed"
-)
+const headerRetryAfter = "Retry-After"
+
+func setIfNamed(h http.Header, name string) {
+	if name != "" {
+		h.Set(name, "1")
+	}
+}
 
 // writeAdmission writes what the engine says about the requests that it accepts, and
 // reports whether it has refused the request.
@@ -40,8 +42,8 @@
 		leaving.Store(true)
 	}
 	h := w.Header()
-	if o.AnnounceInResponses && leaving.Load() {
-		h.Set(headerServerLeaving, "1")
+	if leaving.Load() {
+		setIfNamed(h, o.LeavingHeader)
 	}
 	if !refused {
 		return false
@@ -49,7 +51,7 @@
 	if rand.Float64() < o.PauseChance {
 		h.Set(headerRetryAfter, strconv.FormatFloat(o.pause().Seconds(), 'f', -1, 64))
 	}
-	h.Set(headerNotExecuted, "1")
+	setIfNamed(h, o.NotRunHeader)
 	w.WriteHeader(http.StatusServiceUnavailable)
 	return true
 }
--- a/internal/standin/admission_test.go
+++ b/internal/standin/admission_test.go
@@ -22,9 +22,16 @@
 	reused bool
 }
 
+// leavingHeader and notRunHeader are the headers that the engines of these tests use.
+const (
+	leavingHeader = "Leaving"
+	notRunHeader  = "Not-Run"
+)
+
 // askEngine sends requests one after the other to an engine.
 func askEngine(t *testing.T, options AdmissionOptions, requests int) []admissionAnswer {
 	t.Helper()
+	options.NotRunHeader = notRunHeader
 	e, err := StartEngine("127.0.0.1:0", EngineOptions{ID: "e", Zone: "a", Region: "r", Model: "m", Version: "v", Admission: options})
 	if err != nil {
 		t.Fatal(err)
@@ -63,8 +70,8 @@
 			t.Fatal(err)
 		}
 	}
-	answer.leaving = response.Header.Get(headerServerLeaving) == "1"
-	answer.notExecuted = response.Header.Get(headerNotExecuted) != ""
+	answer.leaving = response.Header.Get(leavingHeader) == "1"
+	answer.notExecuted = response.Header.Get(notRunHeader) != ""
 	return answer
 }
 
@@ -78,10 +85,10 @@
 		paused  bool
 		leaving bool
 	}{
-		"accepts":             {AdmissionOptions{AnnounceInResponses: true, LeaveChance: 1}, 200, false, false},
+		"accepts":             {AdmissionOptions{LeavingHeader: leavingHeader, LeaveChance: 1}, 200, false, false},
 		"pauses":              {AdmissionOptions{RefuseChance: 1, PauseChance: 1, MinPause: short, MaxPause: long}, 503, true, false},
 		"refuses":             {AdmissionOptions{RefuseChance: 1, MinPause: short, MaxPause: long}, 503, false, false},
-		"leaves while paused": {AdmissionOptions{RefuseChance: 1, PauseChance: 1, MinPause: short, MaxPause: long, LeaveChance: 1, AnnounceInResponses: true}, 503, true, true},
+		"leaves while paused": {AdmissionOptions{RefuseChance: 1, PauseChance: 1, MinPause: short, MaxPause: long, LeaveChance: 1, LeavingHeader: leavingHeader}, 503, true, true},
 		"leaves silently":     {AdmissionOptions{RefuseChance: 1, LeaveChance: 1}, 503, false, false},
 	} {
 		for i, answer := range askEngine(t, c.options, 20) {
@@ -101,7 +108,7 @@
 // Guards against an engine that leaves without saying so in its announcements, or in its
 // responses to requests that it still accepts.
 func TestLeavingEngineServesAndSaysSo(t *testing.T) {
-	e, err := StartEngine("127.0.0.1:0", EngineOptions{ID: "e", Zone: "a", Region: "r", Model: "m", Version: "v", Admission: AdmissionOptions{AnnounceInResponses: true}})
+	e, err := StartEngine("127.0.0.1:0", EngineOptions{ID: "e", Zone: "a", Region: "r", Model: "m", Version: "v", Admission: AdmissionOptions{LeavingHeader: leavingHeader}})
 	if err != nil {
 		t.Fatal(err)
 	}
