--- a/internal/edge/slowreader_test.go
+++ b/internal/edge/slowreader_test.go
@@ -50,7 +50,7 @@
 			t.Parallel()
 			f := startStoppedFront(t, 8*time.Second, kind, func(conn net.Conn, _ *http.Request) {
 				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: id\r\nContent-Length: %d\r\n\r\n", size)
-				event := make([]byte, 1<<10)
+				event := make([]byte, 16<<10)
 				copy(event[len(event)-2:], "\n\n")
 				for range size / len(event) {
 					if _, err := conn.Write(event); err != nil {
