--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -18,8 +18,7 @@
 	// nothing about other suspects.
 	explained map[crashID]bool
 	// quarantinedSince maps the quarantined requests and parts to the time since which they
-	// are known to be, and cleared holds those that have completed since. trials holds their
-	// open trials.
+	// are known to be, and cleared holds those that have completed since.
 	quarantinedSince map[string]time.Duration
 	cleared          map[string]bool
 	trials           trials
@@ -31,7 +30,7 @@
 func NewTracker() *Tracker {
 	return &Tracker{
 		suspects: make(map[string]*evidence), quarantined: make(map[string]bool), crashes: make(map[string][]time.Duration),
-		trials:    newTrials(),
+		trials:    trials{openSince: make(map[string]time.Duration), failed: make(map[string]bool), endedAt: make(map[string]time.Duration), lastCrash: math.MinInt64 / 2},
 		explained: make(map[crashID]bool), quarantinedSince: make(map[string]time.Duration), cleared: make(map[string]bool), lastPartQuarantine: math.MinInt64,
 	}
 }
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 	"time"
 )
@@ -53,13 +52,6 @@
 	opened    []time.Duration
 }
 
-func newTrials() trials {
-	return trials{
-		openSince: make(map[string]time.Duration), failed: make(map[string]bool), endedAt: make(map[string]time.Duration),
-		lastCrash: math.MinInt64 / 2,
-	}
-}
-
 // isOpen reports whether something is on trial.
 func (t *trials) isOpen(suspect string) bool {
 	_, open := t.openSince[suspect]
