--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -14,8 +14,8 @@
 	quarantined map[string]bool
 	// crashes maps the incarnations of engines to the times of their crashes.
 	crashes map[string][]time.Duration
-	// explained holds the crashes of engines because of a quarantined part. They say
-	// nothing about other suspects.
+	// explained holds the crashes of engines because of a quarantined part, or in a trial.
+	// They say nothing about other suspects.
 	explained map[crashID]bool
 	// quarantinedSince maps the quarantined requests and parts to the time since which they
 	// are known to be, and cleared holds those that have completed since.
@@ -46,8 +46,7 @@
 // RecordCrash records a crash. Several fronts report the same one.
 func (t *Tracker) RecordCrash(now time.Duration, c Crash) {
 	id := t.identify(c)
-	t.trials.recordCrash(c)
-	if slices.ContainsFunc(c.Requests, t.hasQuarantinedPart) {
+	if t.trials.recordCrash(c) || slices.ContainsFunc(c.Requests, t.hasQuarantinedPart) {
 		t.explain(id)
 	}
 	if t.explained[id] {
@@ -84,10 +83,8 @@
 	return first
 }
 
-// hasQuarantinedPart reports whether a request has a part that explains a crash with it. A part
-// on trial does not, as the request may have another one that does.
 func (t *Tracker) hasQuarantinedPart(r BrokenRequest) bool {
-	return slices.ContainsFunc(r.Parts, func(part string) bool { return t.quarantined[part] && !t.trials.isOpen(part) })
+	return slices.ContainsFunc(r.Parts, func(part string) bool { return t.quarantined[part] })
 }
 
 func (t *Tracker) recordSuspect(now time.Duration, id crashID, at time.Duration, suspect string, depth int, r BrokenRequest) {
