--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -30,7 +30,7 @@
 func NewTracker() *Tracker {
 	return &Tracker{
 		suspects: make(map[string]*evidence), quarantined: make(map[string]bool), crashes: make(map[string][]time.Duration),
-		trials:    trials{openSince: make(map[string]time.Duration), failed: make(map[string]bool), endedAt: make(map[string]time.Duration), lastCrash: math.MinInt64 / 2},
+		trials:    trials{openSince: make(map[string]time.Duration), failed: make(map[string]bool), lastCrash: math.MinInt64 / 2},
 		explained: make(map[crashID]bool), quarantinedSince: make(map[string]time.Duration), cleared: make(map[string]bool), lastPartQuarantine: math.MinInt64,
 	}
 }
