--- a/internal/edge/corequarantine.go
+++ b/internal/edge/corequarantine.go
@@ -57,10 +57,10 @@
 	return e.suspects
 }
 
-// changes returns the requests and parts that have to be quarantined, those whose
-// quarantine is over, and those of them that have completed, given the quarantined ones.
-// While as many as possible are quarantined, none is added.
-func (e *crashEvidence) changes(now time.Duration, quarantined []string) (add, release, cleared []string) {
+// changes returns the requests and parts that have to be quarantined and those whose
+// quarantine is over, given the quarantined ones. While as many as possible are
+// quarantined, none is added.
+func (e *crashEvidence) changes(now time.Duration, quarantined []string) (add, release []string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.tracker.SetQuarantined(quarantined)
@@ -71,9 +71,6 @@
 	}
 	for _, suspect := range e.tracker.Released() {
 		release = append(release, suspect)
-		if e.tracker.IsCleared(suspect) {
-			cleared = append(cleared, suspect)
-		}
 		if !quarantine.IsRequestKey(suspect) {
 			// The evidence about a request stays, as one more crash shows that the
 			// release was a mistake.
@@ -82,7 +79,7 @@
 	}
 	add = e.tracker.Due(now)
 	e.suspects = e.tracker.Suspects(now)
-	return add[:min(len(add), max(fleet.MaxQuarantined-len(quarantined), 0))], release, cleared
+	return add[:min(len(add), max(fleet.MaxQuarantined-len(quarantined), 0))], release
 }
 
 // withoutRefuted returns the elements of the list that have not completed meanwhile. A proposal
@@ -93,13 +90,6 @@
 	return slices.DeleteFunc(list, e.tracker.IsRefuted)
 }
 
-// trialChanges returns the trials that have to be opened and those that have failed.
-func (e *crashEvidence) trialChanges(now time.Duration, registered map[string]quarantine.Trial) (open, failed []string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.tracker.TrialChanges(now, registered)
-}
-
 // updateQuarantine changes the quarantined requests and parts while this replica leads. A
 // change that was not committed is proposed again. New suspects are passed on at once, so
 // that fronts hold them back.
@@ -112,22 +102,19 @@
 			change = fleet.Command{}
 			continue
 		}
-		add, release, cleared := leader.evidence.changes(boottime.Now(), c.registry.Quarantined())
+		add, release := leader.evidence.changes(boottime.Now(), c.registry.Quarantined())
 		if known := leader.evidence.knownSuspects(); !slices.Equal(known, suspects) {
 			suspects = known
 			c.notify()
 		}
 		change.Quarantine = leader.evidence.withoutRefuted(union(change.Quarantine, add))
 		change.Release = union(change.Release, release)
-		change.Cleared = union(change.Cleared, cleared)
-		change.OpenTrials, change.FailTrials = leader.evidence.trialChanges(boottime.Now(), c.registry.Trials())
-		if !change.ChangesQuarantine() {
+		if len(change.Quarantine) == 0 && len(change.Release) == 0 {
 			continue
 		}
 		err := c.propose(ctx, control.KindFleet, change.Encode())
 		c.logger.Warn("quarantine changed", zap.Strings("quarantined", change.Quarantine),
-			zap.Strings("released", change.Release), zap.Strings("trials_opened", change.OpenTrials),
-			zap.Strings("trials_failed", change.FailTrials), zap.Error(err))
+			zap.Strings("released", change.Release), zap.Error(err))
 		if err == nil {
 			change = fleet.Command{}
 		}
--- a/internal/edge/frontquarantine_test.go
+++ b/internal/edge/frontquarantine_test.go
@@ -89,11 +89,11 @@
 	}
 	crash(4, frequent)
 	quarantined := []string{frequent, rare}
-	if _, release, _ := e.changes(5*time.Second, quarantined); !slices.Equal(release, []string{rare}) {
+	if _, release := e.changes(5*time.Second, quarantined); !slices.Equal(release, []string{rare}) {
 		t.Fatalf("released %q, want the request whose crashes the other one explains", release)
 	}
 	crash(6, rare)
-	if add, _, _ := e.changes(7*time.Second, []string{frequent}); !slices.Equal(add, []string{rare}) {
+	if add, _ := e.changes(7*time.Second, []string{frequent}); !slices.Equal(add, []string{rare}) {
 		t.Errorf("quarantined %q after a further crash, want the released request", add)
 	}
 }
--- a/internal/edge/frontsync.go
+++ b/internal/edge/frontsync.go
@@ -204,7 +204,7 @@
 		return nil
 	}
 	f.setUnreachableStores(response.GetUnreachableStores())
-	f.setQuarantined(registry, next.FrontCount)
+	f.setQuarantined(registry)
 	f.registry = registry
 	next.Weights = registry.Weights
 	f.updatePlacement(table, next.FrontCount)
@@ -216,15 +216,14 @@
 	return nil
 }
 
-// setQuarantined applies the quarantined requests and parts of a registry, and their trials.
-func (f *Front) setQuarantined(registry *fleet.State, frontCount int) {
-	suspects, onTrial := registry.QuarantinedSuspects(), registry.OnTrial()
-	if slices.Equal(suspects, f.registry.QuarantinedSuspects()) && slices.Equal(onTrial, f.registry.OnTrial()) {
+// setQuarantined applies the quarantined requests and parts of a registry.
+func (f *Front) setQuarantined(registry *fleet.State) {
+	suspects := registry.QuarantinedSuspects()
+	if slices.Equal(suspects, f.registry.QuarantinedSuspects()) {
 		return
 	}
-	f.logger.Info("quarantine changed", zap.Strings("quarantined", suspects), zap.Strings("on_trial", onTrial))
+	f.logger.Info("quarantine changed", zap.Strings("quarantined", suspects))
 	f.quarantine.SetQuarantined(suspects)
-	f.quarantine.SetTrials(onTrial, frontCount)
 }
 
 func (f *Front) setUnreachableStores(stores []string) {
--- a/internal/fleet/delta.go
+++ b/internal/fleet/delta.go
@@ -1,7 +1,5 @@
 package fleet
 
-import "github.com/cuminwing/cuminwing/internal/quarantine"
-
 // Delta holds the changes of the registry since an earlier revision.
 type Delta struct {
 	// Full is set if Targets holds all targets, not only the changed ones.
@@ -11,15 +9,13 @@
 	Weights map[string]uint64 `json:"weights,omitempty"`
 	// Quarantined holds all quarantined requests and parts.
 	Quarantined map[string]uint64 `json:"quarantined,omitempty"`
-	// Trials holds all trials of what is quarantined.
-	Trials   map[string]quarantine.Trial `json:"trials,omitempty"`
-	Revision uint64                      `json:"revision"`
+	Revision    uint64            `json:"revision"`
 }
 
 // DeltaSince returns the changes after a revision. It returns the full registry
 // if the departures since that revision are no longer all kept.
 func (s *State) DeltaSince(revision uint64) Delta {
-	d := Delta{Weights: s.Weights, Quarantined: s.Quarantined, Trials: s.Trials, Revision: s.Revision}
+	d := Delta{Weights: s.Weights, Quarantined: s.Quarantined, Revision: s.Revision}
 	truncated := len(s.Departed) == maxDepartures && s.Departed[0].Revision > revision
 	d.Full = revision == 0 || truncated
 	for _, t := range s.Targets {
@@ -49,7 +45,6 @@
 	}
 	c.Weights = d.Weights
 	c.Quarantined = d.Quarantined
-	c.Trials = d.Trials
 	c.Revision = d.Revision
 	return c
 }
--- a/internal/fleet/quarantine_test.go
+++ b/internal/fleet/quarantine_test.go
@@ -5,8 +5,6 @@
 	"slices"
 	"testing"
 	"time"
-
-	"github.com/cuminwing/cuminwing/internal/quarantine"
 )
 
 // Guards against a quarantine that is lost with a restart or does not reach a front, one
@@ -57,40 +55,3 @@
 		t.Errorf("%d parts from %s on are quarantined, want the last %d", len(parts), parts[0], MaxQuarantined)
 	}
 }
-
-// Guards against fatal requests that are tried more often because trials are forgotten with a
-// leader, a restart or a release, and against sound ones with fewer trials after they were cleared.
-func TestTrialsAreReplicated(t *testing.T) {
-	r := NewRegistry()
-	front := NewState()
-	index := uint64(0)
-	check := func(c Command, want quarantine.Trial) {
-		t.Helper()
-		index++
-		r.Apply(index, time.Time{}, c.Encode())
-		data, err := r.Snapshot()
-		if err != nil {
-			t.Fatal(err)
-		}
-		r = NewRegistry()
-		if err := r.Restore(data); err != nil {
-			t.Fatal(err)
-		}
-		front = front.Merge(r.DeltaSince(front.Revision))
-		if got := r.Trials()["a"]; got != want {
-			t.Errorf("registry has %+v, want %+v", got, want)
-		}
-		if got := slices.Contains(front.OnTrial(), "a"); got != want.Open {
-			t.Errorf("on trial at the front: %v, want %v", got, want.Open)
-		}
-	}
-	check(Command{OpenTrials: []string{"a"}}, quarantine.Trial{})
-	check(Command{Quarantine: []string{"a"}}, quarantine.Trial{})
-	check(Command{OpenTrials: []string{"a"}}, quarantine.Trial{Open: true})
-	check(Command{FailTrials: []string{"a"}}, quarantine.Trial{Failed: 1})
-	check(Command{FailTrials: []string{"a"}}, quarantine.Trial{Failed: 1})
-	check(Command{OpenTrials: []string{"a"}}, quarantine.Trial{Open: true, Failed: 1})
-	check(Command{Release: []string{"a"}}, quarantine.Trial{Failed: 2})
-	check(Command{Quarantine: []string{"a"}}, quarantine.Trial{Failed: 2})
-	check(Command{Release: []string{"a"}, Cleared: []string{"a"}}, quarantine.Trial{})
-}
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/cuminwing/cuminwing/internal/quarantine"
 	"github.com/cuminwing/cuminwing/internal/ratelimit"
 )
 
@@ -61,12 +60,6 @@
 	// Release removes them.
 	Quarantine []string `json:"quarantine,omitempty"`
 	Release    []string `json:"release,omitempty"`
-	// Cleared holds those of Release that have completed. The others have one trial less if
-	// they are quarantined again.
-	Cleared []string `json:"cleared,omitempty"`
-	// OpenTrials begins trials of what is quarantined; FailTrials ends them.
-	OpenTrials []string `json:"open_trials,omitempty"`
-	FailTrials []string `json:"fail_trials,omitempty"`
 }
 
 // RequiredWeights is the version of a model that engines have to run.
@@ -121,8 +114,6 @@
 	// Quarantined maps the requests, and parts of prompts, that must not reach engines
 	// to the log index at which they were added.
 	Quarantined map[string]uint64 `json:"quarantined,omitempty"`
-	// Trials holds the trials of what is quarantined, or was and may be again.
-	Trials map[string]quarantine.Trial `json:"trials,omitempty"`
 	// Revision is the log index of the last change of anything but Spent.
 	Revision uint64 `json:"revision"`
 	// UrgentRevision is the log index of the last change after which some target
@@ -169,7 +160,7 @@
 func NewRegistry() *Registry { return &Registry{state: emptyState()} }
 
 func emptyState() State {
-	return State{Targets: map[string]Target{}, Weights: map[string]uint64{}, Quarantined: map[string]uint64{}, Trials: map[string]quarantine.Trial{}}
+	return State{Targets: map[string]Target{}, Weights: map[string]uint64{}, Quarantined: map[string]uint64{}}
 }
 
 // Current returns the current state. The caller must not modify it.
@@ -233,7 +224,6 @@
 	d := r.state.DeltaSince(revision)
 	d.Weights = maps.Clone(d.Weights)
 	d.Quarantined = maps.Clone(d.Quarantined)
-	d.Trials = maps.Clone(d.Trials)
 	return d
 }
 
@@ -246,7 +236,6 @@
 		c.Weights[k] = v
 	}
 	maps.Copy(c.Quarantined, s.Quarantined)
-	maps.Copy(c.Trials, s.Trials)
 	c.Departed = append([]Departure(nil), s.Departed...)
 	c.Spent = s.Spent
 	c.Revision = s.Revision
@@ -310,9 +299,8 @@
 		return s.deregister(index, now, c.Leave)
 	case c.Weights != nil:
 		return s.setWeights(index, *c.Weights)
-	case c.ChangesQuarantine():
-		changed := s.changeQuarantine(index, c.Quarantine, c.Release, c.Cleared)
-		return s.changeTrials(index, c.OpenTrials, c.FailTrials) || changed
+	case len(c.Quarantine) > 0 || len(c.Release) > 0:
+		return s.changeQuarantine(index, c.Quarantine, c.Release)
 	}
 	if c.Spent != nil {
 		s.Spent = c.Spent
--- a/internal/proxy/admission.go
+++ b/internal/proxy/admission.go
@@ -46,7 +46,7 @@
 	if c.comesTooLate() {
 		return &errStopping
 	}
-	if refused := c.admitQuarantined(); refused != nil {
+	if refused := c.quarantined(); refused != nil {
 		return refused
 	}
 	c.Budget.RecordRequest(c.service, c.started)
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -139,8 +139,6 @@
 	// cleared is set once the latest attempt has shown that the request does not crash
 	// targets.
 	cleared bool
-	// onTrial is set if the request is quarantined and sent for a trial.
-	onTrial bool
 	// key identifies the request and its repeats; empty until it is needed.
 	key string
 	// reserved is the choice for the next attempt, if one is made before the present one
--- a/internal/proxy/ports.go
+++ b/internal/proxy/ports.go
@@ -137,9 +137,6 @@
 type Quarantine interface {
 	// Decide returns whether a request may reach a target.
 	Decide(r quarantine.Request) quarantine.Decision
-	// StartTrial reports whether a request is sent although it is quarantined, to find out
-	// whether it still crashes targets. Such a request runs once at most.
-	StartTrial(r quarantine.Request) bool
 	// RecordBroken records that a request broke off at a target. sentAt is when it was
 	// sent, on a clock that continues during a suspension.
 	RecordBroken(t placement.Target, r quarantine.Request, sentAt time.Duration)
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -45,27 +45,12 @@
 
 // decide returns whether the request may reach a target.
 func (c *call) decide() quarantine.Decision {
-	switch {
-	case c.Quarantine == nil, c.onTrial && c.possibleRuns == 0:
+	if c.Quarantine == nil {
 		return quarantine.Decision{}
-	case c.onTrial:
-		return quarantine.Decision{Verdict: quarantine.Quarantined, Suspect: c.key, RetryAfter: quarantine.Time}
 	}
 	return c.Quarantine.Decide(c.quarantineRequest())
 }
 
-// admitQuarantined returns the refusal of a request that must not reach a target; nil if it
-// may, also for a trial.
-func (c *call) admitQuarantined() *refusal {
-	refused := c.quarantined()
-	if refused == nil || refused.code == errRequestSuspected.code || !c.Quarantine.StartTrial(c.quarantineRequest()) {
-		return refused
-	}
-	c.onTrial = true
-	c.addReason("sent for a trial")
-	return nil
-}
-
 // quarantined returns the refusal of a request that must not reach a target; nil if it
 // may. It adds what is quarantined to the log entry of the request.
 func (c *call) quarantined() *refusal {
--- a/internal/proxy/quarantine_test.go
+++ b/internal/proxy/quarantine_test.go
@@ -21,8 +21,6 @@
 type fakeQuarantine struct {
 	blockAfter    int
 	blockRequests bool
-	// trial makes quarantined requests be sent for a trial.
-	trial bool
 
 	mu                             sync.Mutex
 	keys, broken, ended, completed []string
@@ -43,8 +41,6 @@
 	return quarantine.Decision{}
 }
 
-func (q *fakeQuarantine) StartTrial(quarantine.Request) bool { return q.trial }
-
 func (q *fakeQuarantine) RecordBroken(t placement.Target, r quarantine.Request, _ time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -251,29 +247,3 @@
 		})
 	}
 }
-
-// Guards against a quarantined request that is never tried again, and against one that crashes
-// several targets in one trial.
-func TestTrialRunsOnce(t *testing.T) {
-	hangUp := func(net.Conn, *http.Request) bool { return false }
-	for name, tt := range map[string]struct {
-		first      func(net.Conn, *http.Request) bool
-		wantStatus int
-	}{
-		"completes":                {respondOK("fine"), http.StatusOK},
-		"breaks off at the target": {hangUp, http.StatusBadGateway},
-	} {
-		t.Run(name, func(t *testing.T) {
-			first, second := newTarget(t, tt.first), newTarget(t, tt.first)
-			f := newFront(t, gatewayconfig.Route{Kind: gatewayconfig.RunIdempotent, MaxAttempts: 3}, first, second)
-			f.handler.Quarantine, f.parts = &fakeQuarantine{trial: true}, "common fatal own"
-			resp, body, err := f.call(t, "r1", "POST", "b")
-			if err != nil || resp.StatusCode != tt.wantStatus {
-				t.Fatalf("got %v %q, error %v; want status %d", resp, body, err, tt.wantStatus)
-			}
-			if sent := len(first.requests()) + len(second.requests()); sent != 1 {
-				t.Errorf("%d targets got the request, want 1", sent)
-			}
-		})
-	}
-}
--- a/internal/proxy/stall.go
+++ b/internal/proxy/stall.go
@@ -92,7 +92,7 @@
 // It returns nil if the request must not be tried again at present. It is called while the
 // attempt runs, and changes nothing of the call.
 func (s *exchange) reserveRetry() *placement.Choice {
-	if s.onTrial || s.decide().Verdict != quarantine.Admitted {
+	if s.decide().Verdict != quarantine.Admitted {
 		return nil
 	}
 	request := s.placementRequest
--- a/internal/quarantine/observer.go
+++ b/internal/quarantine/observer.go
@@ -45,17 +45,14 @@
 	// knows them.
 	suspectedSince map[string]time.Duration
 	quarantined    map[string]bool
-	// trialFrom maps what is on trial to the time from which this front may send a request
-	// for it.
-	trialFrom map[string]time.Duration
-	due       chan struct{}
+	due            chan struct{}
 }
 
 // NewObserver returns an Observer without evidence.
 func NewObserver(clock func() time.Duration) *Observer {
 	return &Observer{
 		Clock: clock, completed: make(map[string]time.Duration), broken: make(map[string]time.Duration),
-		suspectedSince: make(map[string]time.Duration), trialFrom: make(map[string]time.Duration), due: make(chan struct{}, 1),
+		suspectedSince: make(map[string]time.Duration), due: make(chan struct{}, 1),
 	}
 }
 
@@ -153,7 +150,6 @@
 			c.Requests[i].Resent, c.Requests[i].SentAt = false, 0
 		}
 	}
-	o.endTrials(c)
 	if len(c.Requests) > 0 {
 		o.crashes = append(o.crashes, c)
 		o.recorded++
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -14,14 +14,13 @@
 	quarantined map[string]bool
 	// crashes maps the incarnations of engines to the times of their crashes.
 	crashes map[string][]time.Duration
-	// explained holds the crashes of engines because of a quarantined part, or in a trial.
-	// They say nothing about other suspects.
+	// explained holds the crashes of engines because of a quarantined part. They say
+	// nothing about other suspects.
 	explained map[crashID]bool
 	// quarantinedSince maps the quarantined requests and parts to the time since which they
 	// are known to be, and cleared holds those that have completed since.
 	quarantinedSince map[string]time.Duration
 	cleared          map[string]bool
-	trials           trials
 	// lastPartQuarantine is when a part was last found to crash engines.
 	lastPartQuarantine time.Duration
 }
@@ -30,7 +29,6 @@
 func NewTracker() *Tracker {
 	return &Tracker{
 		suspects: make(map[string]*evidence), quarantined: make(map[string]bool), crashes: make(map[string][]time.Duration),
-		trials:    trials{openSince: make(map[string]time.Duration), failed: make(map[string]bool), lastCrash: math.MinInt64 / 2},
 		explained: make(map[crashID]bool), quarantinedSince: make(map[string]time.Duration), cleared: make(map[string]bool), lastPartQuarantine: math.MinInt64,
 	}
 }
@@ -46,7 +44,7 @@
 // RecordCrash records a crash. Several fronts report the same one.
 func (t *Tracker) RecordCrash(now time.Duration, c Crash) {
 	id := t.identify(c)
-	if t.trials.recordCrash(c) || slices.ContainsFunc(c.Requests, t.hasQuarantinedPart) {
+	if slices.ContainsFunc(c.Requests, t.hasQuarantinedPart) {
 		t.explain(id)
 	}
 	if t.explained[id] {
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -191,7 +191,7 @@
 func (t *Tracker) Released() []string {
 	var list []string
 	for suspect := range t.quarantined {
-		if e := t.suspects[suspect]; t.IsCleared(suspect) || e != nil && t.isExplained(suspect, e) {
+		if e := t.suspects[suspect]; t.cleared[suspect] || t.IsRefuted(suspect) || e != nil && t.isExplained(suspect, e) {
 			list = append(list, suspect)
 		}
 	}
