--- a/internal/quarantine/observer.go
+++ b/internal/quarantine/observer.go
@@ -250,6 +250,9 @@
 	return slices.Compact(names)
 }
 
+// suspects returns the key and the parts of a request.
+func (r Request) suspects() []string { return append([]string{r.Key}, r.Parts...) }
+
 // withinReportSize returns how many of the crashes fit into one report.
 func withinReportSize(crashes []Crash) int {
 	size := 0
