Keep unused connections to the core as long as idle ones

Cause: a member closed a connection on which nothing had arrived for 5 s, the time limit of headers. A client that opens a connection and gets another one first keeps the new one for later: peerClient for 30 s. A call that it sends as the server closes the connection gets no answer.

Change: Limits.First of httpconn limits the time to the first byte of a connection. The core sets it to its idle timeout of one minute; fronts leave it at the header timeout of the document.

Measured: TestUnusedConnectionIsKeptLongerThanByItsClient failed with "unexpected EOF" and passes.

--- a/internal/adapter/httpconn/conn.go
+++ b/internal/adapter/httpconn/conn.go
@@ -242,8 +242,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	limit := limits.Header
-	if c.phase == phaseIdle && c.requests > 0 {
+	switch {
+	case c.phase == phaseIdle && c.requests > 0:
 		limit = limits.Idle
+	case c.phase == phaseIdle:
+		limit = limits.first()
 	}
 	if c.phase == phaseServed || c.closed || c.ending || c.limit <= 0 || limit > 0 && limit <= c.limit {
 		return
--- a/internal/adapter/httpconn/tracker.go
+++ b/internal/adapter/httpconn/tracker.go
@@ -13,15 +13,25 @@
 
 // Limits are the time limits of connections; 0 is no limit.
 type Limits struct {
-	// Header limits the time to read the headers of a request, and the time from the start
-	// of a connection to the first byte of its first request.
+	// Header limits the time to read the headers of a request.
 	Header time.Duration
+	// First limits the time from the start of a connection to the first byte of its first
+	// request. If it is 0, Header limits it.
+	First time.Duration
 	// Idle limits the time between a response and the first byte of the next request.
 	Idle time.Duration
 	// Document is the version of the document that sets the limits; 0 if there is none.
 	Document uint64
 }
 
+// first returns the limit of the time to the first byte of a connection.
+func (l *Limits) first() time.Duration {
+	if l.First > 0 {
+		return l.First
+	}
+	return l.Header
+}
+
 // Tracker keeps the HTTP/1 connections of one server. Limits, Logger and Count must be set.
 type Tracker struct {
 	// Limits returns the limits in force.
@@ -62,8 +72,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	limits := t.Limits()
-	c.timer = time.AfterFunc(limits.Header, c.expire)
-	c.enter(phaseIdle, limits.Header, limits.Document)
+	c.timer = time.AfterFunc(limits.first(), c.expire)
+	c.enter(phaseIdle, limits.first(), limits.Document)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.open == nil {
--- a/internal/edge/corecalls_test.go
+++ b/internal/edge/corecalls_test.go
@@ -64,7 +64,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = conn.Close() })
-	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
 	return conn
 }
 
@@ -223,3 +223,23 @@
 		t.Errorf("proposal without a leader: %v, want ErrUnavailable alone", err)
 	}
 }
+
+// Guards against a connection that a member closes while a peer may send its first call. A
+// client that gets another connection first keeps the one that it has opened for later.
+func TestUnusedConnectionIsKeptLongerThanByItsClient(t *testing.T) {
+	t.Parallel()
+	d := newDeploymentWith(t, 1, func(c *runningCore) { c.control = slowControl })
+	s := d.cores[0].settings
+	conns := []net.Conn{dialMember(t, s.selfPeerAddress()), dialMember(t, s.ControlAddress)}
+	time.Sleep(coreHeaderTimeout + 500*time.Millisecond)
+	for _, conn := range conns {
+		startCall(t, conn, MetricsPath)
+		if response := readCall(t, conn); response.StatusCode != http.StatusOK {
+			t.Errorf("response %+v, want 200", response)
+		}
+	}
+	transport := peerClient().Transport.(bodyLimiter).Transport
+	if transport.IdleConnTimeout <= 0 || transport.IdleConnTimeout >= coreIdleTimeout {
+		t.Errorf("peers keep idle connections for %v, the server for %v", transport.IdleConnTimeout, coreIdleTimeout)
+	}
+}
--- a/internal/edge/coreserver.go
+++ b/internal/edge/coreserver.go
@@ -62,8 +62,10 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", address)
 	}
+	// A client may keep a connection that it has not used yet.
+	limits := httpconn.Limits{Header: coreHeaderTimeout, First: coreIdleTimeout, Idle: coreIdleTimeout}
 	s := &coreServer{listener: listener, connections: &httpconn.Tracker{
-		Limits: func() httpconn.Limits { return httpconn.Limits{Header: coreHeaderTimeout, Idle: coreIdleTimeout} },
+		Limits: func() httpconn.Limits { return limits },
 		Logger: c.logger, Count: func(event string) { c.counters.Add(name+"_"+event, 1) },
 	}}
 	s.http = &http.Server{
