--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -18,11 +18,9 @@
 	// nothing about other suspects.
 	explained map[crashID]bool
 	// quarantinedSince maps the quarantined requests and parts to the time since which they
-	// are known to be, and cleared holds those that have completed since. trials holds their
-	// open trials.
+	// are known to be, and cleared holds those that have completed since.
 	quarantinedSince map[string]time.Duration
 	cleared          map[string]bool
-	trials           trials
 	// lastPartQuarantine is when a part was last found to crash engines.
 	lastPartQuarantine time.Duration
 }
@@ -31,7 +29,6 @@
 func NewTracker() *Tracker {
 	return &Tracker{
 		suspects: make(map[string]*evidence), quarantined: make(map[string]bool), crashes: make(map[string][]time.Duration),
-		trials:    newTrials(),
 		explained: make(map[crashID]bool), quarantinedSince: make(map[string]time.Duration), cleared: make(map[string]bool), lastPartQuarantine: math.MinInt64,
 	}
 }
@@ -47,7 +44,6 @@
 // RecordCrash records a crash. Several fronts report the same one.
 func (t *Tracker) RecordCrash(now time.Duration, c Crash) {
 	id := t.identify(c)
-	t.trials.recordCrash(c)
 	if slices.ContainsFunc(c.Requests, t.hasQuarantinedPart) {
 		t.explain(id)
 	}
@@ -85,10 +81,8 @@
 	return first
 }
 
-// hasQuarantinedPart reports whether a request has a part that explains a crash with it. A part
-// on trial does not, as the request may have another one that does.
 func (t *Tracker) hasQuarantinedPart(r BrokenRequest) bool {
-	return slices.ContainsFunc(r.Parts, func(part string) bool { return t.quarantined[part] && !t.trials.isOpen(part) })
+	return slices.ContainsFunc(r.Parts, func(part string) bool { return t.quarantined[part] })
 }
 
 func (t *Tracker) recordSuspect(now time.Duration, id crashID, at time.Duration, suspect string, depth int, r BrokenRequest) {
