Tell how a request ended that got no response

Change: Unused, Abandoned and Silent are results of their own, a request states its priority, and a choice whether its expected time may be relied on. The test of a disconnect during a dial names the new result; it is as strict as before.

--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -36,8 +36,17 @@
 	// Misdirected means that the address now belongs to another target.
 	Misdirected
 	// Canceled says nothing about the target: the request ended for another
-	// reason, for example because the caller disconnected.
+	// reason, for example because the engine runs other weights.
 	Canceled
+	// Unused means that nothing was sent to the target.
+	Unused
+	// Abandoned means that the caller disconnected, or the deadline passed, after the
+	// request was sent. If no byte of the response had arrived, the wait is a censored
+	// observation: the target would have taken at least as long.
+	Abandoned
+	// Silent means that this VM ended the attempt, to try another target, because the
+	// target had not begun to respond for far longer than expected.
+	Silent
 )
 
 // rejectedWaitMS is the least wait assumed at a target that has just rejected a
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -96,6 +96,8 @@
 	// Weights is the version of the model weights that the engine should run.
 	// Engines with older weights get a penalty.
 	Weights uint64
+	// Priority is the priority with which the target runs the request; 0 is the highest.
+	Priority int
 	// Exclude lists the IDs of targets that have failed this request.
 	Exclude []string
 }
@@ -120,8 +122,11 @@
 	// prefills; empty if the store holds the shared parts already, or if no
 	// store is used.
 	SaveTo string
-	// Expected is the expected time to the first byte of the response.
+	// Expected is the expected time to the first byte of the response. Certain is set if
+	// recent responses of the target agree with such an expectation, so that a request
+	// may be refused because of it.
 	Expected time.Duration
+	Certain  bool
 
 	member *member
 	// workMS is the time that the engine needs to fetch and prefill the prompt.
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -290,7 +290,7 @@
 		return nil
 	}
 	if c.attempts > 0 && !c.Budget.TakeRetry(c.service, time.Now(), c.state.FrontCount) {
-		c.Placer.Done(choice, placement.Canceled)
+		c.Placer.Done(choice, placement.Unused)
 		c.addReason("retry budget spent")
 		return nil
 	}
@@ -300,7 +300,7 @@
 // releaseReserved releases the choice for an attempt that is not made.
 func (c *call) releaseReserved() {
 	if c.reserved != nil {
-		c.Placer.Done(c.reserved, placement.Canceled)
+		c.Placer.Done(c.reserved, placement.Unused)
 	}
 }
 
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -585,7 +585,7 @@
 	request.Header.Set("Id", "r1")
 	request.Header.Set("Key", "key")
 	f.handler.ServeHTTP(httptest.NewRecorder(), request)
-	if len(r.results) != 1 || r.results[0] != placement.Canceled {
-		t.Errorf("reported %v, want only Canceled", r.results)
+	if len(r.results) != 1 || r.results[0] != placement.Unused {
+		t.Errorf("reported %v, want only Unused", r.results)
 	}
 }
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -57,8 +57,8 @@
 
 func (r result) placement() placement.Result {
 	return [...]placement.Result{
-		placement.Completed, placement.Unreachable, placement.Canceled, placement.Rejected, placement.Misdirected, placement.Canceled,
-		placement.Failed, placement.Failed, placement.Canceled,
+		placement.Completed, placement.Unreachable, placement.Unused, placement.Rejected, placement.Misdirected, placement.Canceled,
+		placement.Failed, placement.Failed, placement.Abandoned,
 	}[r]
 }
 
--- a/internal/proxy/stall.go
+++ b/internal/proxy/stall.go
@@ -102,7 +102,7 @@
 		return nil
 	}
 	if !s.Budget.TakeRetry(s.service, time.Now(), s.state.FrontCount) {
-		s.Placer.Done(choice, placement.Canceled)
+		s.Placer.Done(choice, placement.Unused)
 		return nil
 	}
 	return choice
