Relay hints within zones, and count bytes by cause and distance

Change: a front sends one copy to each other zone with four fronts or more, where a front relays it. Fronts report their zone. Connections to targets, the core and among its members are counted as bytes_CAUSE_DISTANCE, hints too. CountReads of the tests accepts any connection, because those of the clients are wrapped now.

--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -93,18 +93,20 @@
 // Core is a core process: one replica of the control log, with the tasks that
 // the leader runs.
 type Core struct {
-	settings  Settings
-	logger    *zap.Logger
-	decode    DocumentDecoder
-	engines   EngineAPI
-	document  *gatewayconfig.StateMachine
-	registry  *fleet.Registry
-	replica   *replica.Replica
-	log       *replica.Log
-	client    *http.Client
-	barriers  *batcher[struct{}, uint64]
-	relays    *batcher[*followv1.FrontReport, *relayedReport]
-	announces *batcher[fleet.Target, struct{}]
+	settings Settings
+	logger   *zap.Logger
+	decode   DocumentDecoder
+	engines  EngineAPI
+	document *gatewayconfig.StateMachine
+	registry *fleet.Registry
+	replica  *replica.Replica
+	log      *replica.Log
+	client   *http.Client
+	// addressZones has the zones of the members.
+	addressZones addressZones
+	barriers     *batcher[struct{}, uint64]
+	relays       *batcher[*followv1.FrontReport, *relayedReport]
+	announces    *batcher[fleet.Target, struct{}]
 	// rejectedHeartbeats counts the heartbeats that name no usable target.
 	rejectedHeartbeats rejections
 	encoded            encodedState
@@ -199,11 +201,12 @@
 	c := &Core{
 		settings: s, logger: options.Logger, decode: options.Decode, engines: options.Engines, disk: options.Disk,
 		document: &gatewayconfig.StateMachine{}, registry: fleet.NewRegistry(), changed: make(chan struct{}), logFailed: make(chan struct{}),
-		client: peerClient(), storeHealth: newStoreHealth(), zones: make(map[string]string),
+		storeHealth: newStoreHealth(), zones: make(map[string]string),
 		uploads: newTransferTurns(), downloads: newTransferTurns(),
 		relayed:  relayedState{fronts: &fleetsync.FrontList{}},
 		counters: metrics.New(s.VM), stopping: make(chan struct{}),
 	}
+	c.client = peerClient(c.addressZones.meter(&c.settings, c.counters), trafficReplication)
 	// The tasks keep running after ctx is done, so that shutdown can transfer
 	// the leadership.
 	c.ctx, c.cancel = context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/edge/corecalls_test.go
+++ b/internal/edge/corecalls_test.go
@@ -167,7 +167,7 @@
 	t.Parallel()
 	d, leader := startStoppableCore(t)
 	ctx := context.Background()
-	client := followv1.NewFollowServiceProtobufClient("http://"+leader.settings.selfPeerAddress(), peerClient())
+	client := followv1.NewFollowServiceProtobufClient("http://"+leader.settings.selfPeerAddress(), peerClient(discardMeter(), trafficCore))
 	eventually(t, "poll", func() error {
 		response, err := client.Follow(ctx, &followv1.FollowRequest{Report: reportOf("f"), NoWait: true})
 		if err == nil && !response.GetServed() {
@@ -238,7 +238,7 @@
 			t.Errorf("response %+v, want 200", response)
 		}
 	}
-	transport := peerClient().Transport.(bodyLimiter).Transport
+	transport := peerClient(discardMeter(), trafficCore).Transport.(bodyLimiter).Transport
 	if transport.IdleConnTimeout <= 0 || transport.IdleConnTimeout >= coreIdleTimeout {
 		t.Errorf("peers keep idle connections for %v, the server for %v", transport.IdleConnTimeout, coreIdleTimeout)
 	}
--- a/internal/edge/corefollow.go
+++ b/internal/edge/corefollow.go
@@ -73,7 +73,7 @@
 		Shares: report.shares, UnreachableStores: state.unreachableStores, Suspects: state.suspects, PeersVersion: state.fronts.Version,
 	}
 	if front := request.GetReport(); request.GetPeersVersion() != state.fronts.Version {
-		response.Peers = state.fronts.Peers(front.GetVm(), front.GetRegion())
+		response.Peers = encodePeers(state.fronts.Peers(front.GetVm(), front.GetRegion()))
 	}
 	var err error
 	if stored := c.document.Current(); stored.Version > request.GetDocumentVersion() {
@@ -86,6 +86,14 @@
 	return response, err
 }
 
+func encodePeers(peers []fleetsync.Peer) []*followv1.Peer {
+	list := make([]*followv1.Peer, 0, len(peers))
+	for _, p := range peers {
+		list = append(list, &followv1.Peer{Address: p.Address, Zone: p.Zone})
+	}
+	return list
+}
+
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 // awaitChange blocks until the poll has to be answered.
--- a/internal/edge/corerelay.go
+++ b/internal/edge/corerelay.go
@@ -175,7 +175,7 @@
 func decodeFronts(response *followv1.RelayResponse) *fleetsync.FrontList {
 	list := &fleetsync.FrontList{Version: response.GetFrontsVersion()}
 	for _, f := range response.GetFronts() {
-		list.Fronts = append(list.Fronts, fleetsync.Front{VM: f.GetVm(), Address: f.GetAddress(), Region: f.GetRegion()})
+		list.Fronts = append(list.Fronts, fleetsync.Front{VM: f.GetVm(), Address: f.GetAddress(), Region: f.GetRegion(), Zone: f.GetZone()})
 	}
 	return list
 }
@@ -221,7 +221,7 @@
 		return &followv1.FrontGrants{}, err
 	}
 	now := boottime.Now()
-	leader.fronts.Record(now, fleetsync.Front{VM: report.GetVm(), Address: report.GetAddress(), Region: report.GetRegion()})
+	leader.fronts.Record(now, fleetsync.Front{VM: report.GetVm(), Address: report.GetAddress(), Region: report.GetRegion(), Zone: report.GetZone()})
 	leader.evidence.record(now, report)
 	grants := leader.allocator.Report(now, report.GetVm(), report.GetIncarnation(), decodeReports(report.GetShares()))
 	return &followv1.FrontGrants{Shares: encodeGrants(grants)}, nil
@@ -230,7 +230,7 @@
 func encodeFronts(list *fleetsync.FrontList) []*followv1.FrontAddress {
 	var fronts []*followv1.FrontAddress
 	for _, f := range list.Fronts {
-		fronts = append(fronts, &followv1.FrontAddress{Vm: f.VM, Address: f.Address, Region: f.Region})
+		fronts = append(fronts, &followv1.FrontAddress{Vm: f.VM, Address: f.Address, Region: f.Region, Zone: f.Zone})
 	}
 	return fronts
 }
@@ -305,6 +305,7 @@
 	for _, m := range members {
 		list = append(list, &followv1.CoreMember{Address: m.Address, Zone: zones[m.Address]})
 	}
+	c.addressZones.setCore(list)
 	return list
 }
 
--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -15,6 +15,7 @@
 	"github.com/cuminwing/cuminwing/internal/adapter/httpconn"
 	"github.com/cuminwing/cuminwing/internal/adapter/metrics"
 	"github.com/cuminwing/cuminwing/internal/adapter/targetconn"
+	"github.com/cuminwing/cuminwing/internal/adapter/traffic"
 	"github.com/cuminwing/cuminwing/internal/fleet"
 	"github.com/cuminwing/cuminwing/internal/gatewayconfig"
 	"github.com/cuminwing/cuminwing/internal/pause"
@@ -81,6 +82,9 @@
 	// callers are the connections to callers.
 	callers *httpconn.Tracker
 	client  *http.Client
+	// meter counts the bytes of the front's connections, by the zones of their other ends.
+	meter *traffic.Meter
+	zones addressZones
 	// incarnation identifies this run of the process: its start in Unix
 	// milliseconds.
 	incarnation int64
@@ -152,18 +156,20 @@
 	f := &Front{
 		settings: s, logger: options.Logger, decode: options.Decode,
 		placer:       placement.New(s.Zone, s.Region, time.Now),
-		peers:        &frontPeers{},
+		peers:        newFrontPeers(),
 		staleWeights: newStaleWeightsFilter(s.Guarantees.StaleWeights - staleWeightsMargin),
 		shares:       ratelimit.NewShareLimiter(s.Guarantees.Quota),
 		pool:         targetconn.New(),
 		counters:     metrics.New(s.VM),
-		client:       peerClient(),
 		stop:         newStopClock(s.Guarantees.GracePeriod),
 		incarnation:  time.Now().UnixMilli(),
 		startedAt:    boottime.Now(),
 		registry:     fleet.NewState(),
 		synced:       make(chan struct{}),
 	}
+	f.meter = f.zones.meter(&f.settings, f.counters)
+	f.client = peerClient(f.meter, trafficCore)
+	f.pool.DialContext = f.meter.Dial(trafficTargets, f.pool.DialContext)
 	f.callers = &httpconn.Tracker{
 		Limits: f.callerLimits, Logger: f.logger, AckTimeout: ackTimeout,
 		Count: func(name string) { f.counters.Add("caller_"+name, 1) },
--- a/internal/edge/frontpeers.go
+++ b/internal/edge/frontpeers.go
@@ -2,15 +2,20 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/cuminwing/cuminwing/internal/adapter/traffic"
+	"github.com/cuminwing/cuminwing/internal/fleetsync"
 	"github.com/cuminwing/cuminwing/internal/pause"
+	followv1 "github.com/cuminwing/cuminwing/proto/follow/v1"
 )
 
 const (
@@ -22,51 +27,53 @@
 	maxDatagramBytes = 2048
 )
 
-// frontPeers is the list of the other fronts with which this front exchanges
-// hints. A hint announces a dispatch to an engine.
+// The first byte of a datagram tells what its receiver does with the hints after it.
+const (
+	// packetFinal packets are applied by their receiver.
+	packetFinal byte = iota
+	// packetRelayed packets are applied, and passed on as packetFinal to the fronts of the
+	// receiver's zone.
+	packetRelayed
+)
+
+// frontPeers are the other fronts with which this front exchanges hints. A hint announces
+// a dispatch to an engine, or what an engine has said about the requests that it accepts.
 type frontPeers struct {
+	routes atomic.Pointer[fleetsync.HintRoutes]
+
 	mu          sync.Mutex
-	addresses   []netip.AddrPort
-	members     map[netip.AddrPort]bool
 	listVersion uint64
 }
 
+func newFrontPeers() *frontPeers {
+	p := &frontPeers{}
+	p.routes.Store(fleetsync.NewHintRoutes("", nil))
+	return p
+}
+
 func (p *frontPeers) version() uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.listVersion
 }
 
-// update replaces the list. An address that cannot be parsed is skipped: its
-// front gets no hints, which only makes its placement slightly worse.
-func (p *frontPeers) update(addresses []string, version uint64) {
+// update replaces the list of peers of a front in a zone.
+func (p *frontPeers) update(zone string, peers []*followv1.Peer, version uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if version == p.listVersion {
 		return
 	}
 	p.listVersion = version
-	p.addresses = nil
-	p.members = make(map[netip.AddrPort]bool)
-	for _, address := range addresses {
-		if a, err := netip.ParseAddrPort(address); err == nil {
-			p.addresses = append(p.addresses, a)
-			p.members[a] = true
-		}
+	list := make([]fleetsync.Peer, 0, len(peers))
+	for _, peer := range peers {
+		list = append(list, fleetsync.Peer{Address: peer.GetAddress(), Zone: peer.GetZone()})
 	}
+	p.routes.Store(fleetsync.NewHintRoutes(zone, list))
 }
 
-func (p *frontPeers) all() []netip.AddrPort {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.addresses
-}
-
-func (p *frontPeers) contains(a netip.AddrPort) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.members[a]
-}
+// count returns the number of peers.
+func (p *frontPeers) count() int { return p.routes.Load().Peers() }
 
 // startPeerExchange starts the tasks that send this front's hints to its
 // peers and receive theirs.
@@ -85,8 +92,10 @@
 	return nil
 }
 
-// announceToPeers sends batches of this front's dispatches to all peers.
+// announceToPeers sends batches of this front's hints to all peers.
 func (f *Front) announceToPeers(ctx context.Context, conn *net.UDPConn) {
+	// Fronts that start together choose different relays.
+	sent := rand.Uint64()
 	for {
 		select {
 		case <-ctx.Done():
@@ -96,24 +105,32 @@
 		if !pause.For(ctx, announceDelay) {
 			return
 		}
-		for _, packet := range f.placer.TakeHints() {
-			f.sendToPeers(conn, packet)
+		routes := f.peers.routes.Load()
+		for _, hints := range f.placer.TakeHints() {
+			sent++
+			packet := append([]byte{packetFinal}, hints...)
+			f.sendToPeers(conn, packet, routes.Direct, routes)
+			packet[0] = packetRelayed
+			f.sendToPeers(conn, packet, routes.Relays(sent), routes)
 		}
 	}
 }
 
-// sendToPeers sends a packet to all peers. The packets are only hints, so a
-// packet that cannot be sent is counted and dropped.
-func (f *Front) sendToPeers(conn *net.UDPConn, packet []byte) {
-	for _, peer := range f.peers.all() {
+// sendToPeers sends a packet to peers. The packets are only hints, so a packet that cannot
+// be sent is counted and dropped.
+func (f *Front) sendToPeers(conn *net.UDPConn, packet []byte, peers []netip.AddrPort, routes *fleetsync.HintRoutes) {
+	for _, peer := range peers {
 		if _, err := conn.WriteToUDPAddrPort(packet, peer); err != nil {
 			f.counters.Add("peer_packets_failed", 1)
+			continue
 		}
+		distance := traffic.Between(f.settings.Regions, f.settings.Zone, routes.Zone(peer))
+		f.meter.Count(trafficHints, distance, len(packet))
 	}
 }
 
-// receiveFromPeers passes the peers' hints to placement. It ignores
-// datagrams from other addresses.
+// receiveFromPeers passes the peers' hints to placement, and relays those that are meant
+// for all fronts of this zone. It ignores datagrams from other addresses.
 func (f *Front) receiveFromPeers(ctx context.Context, conn *net.UDPConn) {
 	buffer := make([]byte, maxDatagramBytes)
 	for ctx.Err() == nil {
@@ -125,8 +142,19 @@
 			}
 			continue
 		}
-		if f.peers.contains(netip.AddrPortFrom(from.Addr().Unmap(), from.Port())) {
-			f.placer.ApplyHints(buffer[:n])
-		}
+		f.receiveHints(conn, buffer[:n], netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+	}
+}
+
+// receiveHints applies a packet of a peer, and relays it if the peer asks for that.
+func (f *Front) receiveHints(conn *net.UDPConn, packet []byte, from netip.AddrPort) {
+	routes := f.peers.routes.Load()
+	if len(packet) == 0 || packet[0] > packetRelayed || !routes.Accepts(from) {
+		return
+	}
+	f.placer.ApplyHints(packet[1:])
+	if packet[0] == packetRelayed && routes.MayRelayFor(from) {
+		packet[0] = packetFinal
+		f.sendToPeers(conn, packet, routes.Local, routes)
 	}
 }
--- a/internal/edge/frontsync.go
+++ b/internal/edge/frontsync.go
@@ -59,6 +59,7 @@
 		if noWait = errors.Is(err, errReportDue); noWait {
 			continue
 		}
+		f.zones.setCore(poll.response.GetCore())
 		finder.SetMembers(decodeMembers(poll.response.GetCore()))
 		if err == nil {
 			err = f.applyPoll(poll)
@@ -113,7 +114,7 @@
 	noWait = noWait || len(result.evidence.Crashes) > 0
 	request := &followv1.FollowRequest{
 		Report: &followv1.FrontReport{
-			Vm: f.settings.VM, Incarnation: f.incarnation, Address: f.settings.selfPeerAddress(), Region: f.settings.Region,
+			Vm: f.settings.VM, Incarnation: f.incarnation, Address: f.settings.selfPeerAddress(), Region: f.settings.Region, Zone: f.settings.Zone,
 		},
 		NoWait: noWait, Revision: f.registry.Revision, PeersVersion: f.peers.version(), UnreachableStores: f.unreachableStores,
 		Suspects: f.quarantine.Suspects(),
@@ -176,7 +177,7 @@
 	f.leader = leaderInfo{address: response.GetLeader(), electedAt: electedAt}
 	next := *f.state.Load()
 	next.FrontCount = ratelimit.SharingVMs(next.FrontCount, int(response.GetFrontCount()), response.GetWarmingUp())
-	f.placer.SetFrontCount(next.FrontCount, len(f.peers.all())+1)
+	f.placer.SetFrontCount(next.FrontCount, f.peers.count()+1)
 	table, err := f.tableFor(next.Table, response)
 	if err != nil {
 		// A document that cannot be decoded does not become active, so the
@@ -192,7 +193,7 @@
 	// the future.
 	confirmed := min(poll.sentAt+fromMilliseconds(response.GetConfirmedAfterMs()), boottime.Now())
 	next.Confirmed = max(next.Confirmed, confirmed)
-	f.peers.update(response.GetPeers(), response.GetPeersVersion())
+	f.peers.update(f.settings.Zone, response.GetPeers(), response.GetPeersVersion())
 	documentChanged := table != next.Table
 	if documentChanged {
 		next.Table = table
@@ -321,6 +322,7 @@
 	now := boottime.Now()
 	f.staleWeights.update(now, f.leader, f.registry)
 	f.weightsPending = false
+	f.zones.setTargets(f.registry.Targets)
 	targets := make(map[string][]placement.Target)
 	limits := make(map[string]int)
 	for _, t := range f.registry.Targets {
--- a/internal/edge/peerclient.go
+++ b/internal/edge/peerclient.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cuminwing/cuminwing/internal/adapter/sockopt"
+	"github.com/cuminwing/cuminwing/internal/adapter/traffic"
 )
 
 const (
@@ -21,12 +22,12 @@
 
 var errPeerResponseTooLarge = errors.Newf("the response of a VM exceeds %d bytes", maxPeerResponseBytes)
 
-// peerClient returns the HTTP client for calls to other VMs. A call on a
-// connection that stops responding ends with the call's own timeout.
-func peerClient() *http.Client {
+// peerClient returns the HTTP client for calls to other VMs, whose bytes meter counts under
+// cause. A call on a connection that stops responding ends with the call's own timeout.
+func peerClient(meter *traffic.Meter, cause string) *http.Client {
 	dialer := net.Dialer{Timeout: dialTimeout, Control: sockopt.AckTimeout(ackTimeout)}
 	return &http.Client{Transport: bodyLimiter{&http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            meter.Dial(cause, dialer.DialContext),
 		MaxIdleConnsPerHost:    4,
 		IdleConnTimeout:        30 * time.Second,
 		DisableCompression:     true,
--- a/internal/edge/peerclient_test.go
+++ b/internal/edge/peerclient_test.go
@@ -43,7 +43,7 @@
 			defer stop()
 			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 			defer cancel()
-			client := peerClient()
+			client := peerClient(discardMeter(), trafficCore)
 			transport := client.Transport.(bodyLimiter).Transport
 			transport.DialContext = loopback.CountReads(transport.DialContext, &read)
 			var response string
--- a/internal/edge/transferlimit_test.go
+++ b/internal/edge/transferlimit_test.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	response, err := peerClient().Do(request)
+	response, err := peerClient(discardMeter(), trafficCore).Do(request)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/fleetsync/fleetsync_test.go
+++ b/internal/fleetsync/fleetsync_test.go
@@ -259,11 +259,11 @@
 			if len(peers) > maxPeers || size <= maxMeshFronts && len(peers) != size-1 {
 				t.Errorf("%d fronts: %s announces to %d others", size, f.VM, len(peers))
 			}
-			if slices.Contains(peers, f.Address) {
+			if slices.ContainsFunc(peers, func(p Peer) bool { return p.Address == f.Address }) {
 				t.Errorf("%s announces to itself", f.VM)
 			}
 			for _, p := range peers {
-				heard[p]++
+				heard[p.Address]++
 			}
 		}
 		for address, n := range heard {
--- a/internal/fleetsync/fronts.go
+++ b/internal/fleetsync/fronts.go
@@ -38,6 +38,13 @@
 	// Address is where the front receives datagrams.
 	Address string
 	Region  string
+	Zone    string
+}
+
+// Peer is a front with which another one exchanges hints.
+type Peer struct {
+	Address string
+	Zone    string
 }
 
 // FrontList is one version of the list of fronts. It is never modified.
@@ -58,39 +65,38 @@
 	hash := xxhash.New()
 	for _, f := range fronts {
 		// Writing to a hash never fails.
-		_, _ = hash.WriteString(f.Address + "\n")
+		_, _ = hash.WriteString(f.Address + " " + f.Zone + "\n")
 	}
 	l.Version = hash.Sum64()
 	return l
 }
 
-// Peers returns the addresses of the fronts to which a front announces its
-// dispatches: all fronts of a small deployment, else those of its region. Of more
+// Peers returns the fronts to which a front announces its dispatches: all fronts of a small deployment, else those of its region. Of more
 // than maxPeers, it returns those that rank highest by a hash of both VMs. The hash is
 // symmetric, so that mostly the same fronts announce theirs to it.
-func (l *FrontList) Peers(vm, region string) []string {
+func (l *FrontList) Peers(vm, region string) []Peer {
 	var peers []rankedFront
 	for i := range l.Fronts {
 		f := &l.Fronts[i]
 		if f.VM != vm && (len(l.Fronts) <= maxMeshFronts || f.Region == region) {
-			peers = append(peers, rankedFront{f.Address, xxhash.Sum64String(vm) ^ xxhash.Sum64String(f.VM)})
+			peers = append(peers, rankedFront{Peer{f.Address, f.Zone}, xxhash.Sum64String(vm) ^ xxhash.Sum64String(f.VM)})
 		}
 	}
 	if len(peers) > maxPeers {
 		slices.SortFunc(peers, func(a, b rankedFront) int { return cmp.Compare(a.rank, b.rank) })
 		peers = peers[:maxPeers]
 	}
-	list := make([]string, 0, len(peers))
+	list := make([]Peer, 0, len(peers))
 	for _, p := range peers {
-		list = append(list, p.address)
+		list = append(list, p.Peer)
 	}
-	slices.Sort(list)
+	slices.SortFunc(list, comparePeers)
 	return list
 }
 
 type rankedFront struct {
-	address string
-	rank    uint64
+	Peer
+	rank uint64
 }
 
 // Fronts tracks the fronts that follow the core. It runs on the leader and is safe
--- a/internal/loopback/countreads.go
+++ b/internal/loopback/countreads.go
@@ -9,7 +9,7 @@
 // DialFunc opens a connection, as net.Dialer.DialContext does.
 type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
-// CountReads returns a DialFunc whose TCP connections add the bytes that are read from
+// CountReads returns a DialFunc whose connections add the bytes that are read from
 // them to n. What a peer has sent says little about that: the buffers of the sockets hold
 // up to some tens of MB, depending on the settings of the kernel.
 func CountReads(dial DialFunc, n *atomic.Int64) DialFunc {
@@ -18,18 +18,18 @@
 		if err != nil {
 			return nil, err
 		}
-		return readCounter{conn.(*net.TCPConn), n}, nil
+		return readCounter{conn, n}, nil
 	}
 }
 
 type readCounter struct {
-	*net.TCPConn
+	net.Conn
 	n *atomic.Int64
 }
 
 // Read implements io.Reader.
 func (c readCounter) Read(b []byte) (int, error) {
-	n, err := c.TCPConn.Read(b)
+	n, err := c.Conn.Read(b)
 	c.n.Add(int64(n))
 	return n, err
 }
