Compare a document file with the configuration in one place

Cause: config diff and config apply read the file, fetched the sections and computed the changes with the same ten lines each.

Change: both call compareFile.

Result: go test ./internal/cli passes; no change of behaviour.

--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -67,6 +67,31 @@
 	to      config.RawSection
 }
 
+// comparedFile is a document file with the configuration in force, and what it changes there.
+type comparedFile struct {
+	file    *config.DocumentFile
+	current map[config.Section]*configv1.Section
+	changes []sectionChange
+}
+
+// compareFile reads a document file and compares it with the configuration in force. If it
+// fails, it returns the exit code as well.
+func (c *client) compareFile(name string) (*comparedFile, int, error) {
+	file, err := readDocumentFile(name)
+	if err != nil {
+		return nil, ExitRefused, err
+	}
+	_, current, err := c.fetchSections()
+	if err != nil {
+		return nil, ExitFailed, err
+	}
+	changes, err := computeChanges(file, current)
+	if err != nil {
+		return nil, ExitFailed, err
+	}
+	return &comparedFile{file, current, changes}, ExitOK, nil
+}
+
 // computeChanges compares a document file with the active sections. It skips
 // sections that the operator has not edited since reading them, even if they
 // were changed on the server in the meantime.
--- a/internal/cli/config_apply.go
+++ b/internal/cli/config_apply.go
@@ -32,29 +32,21 @@
 }
 
 func (c *client) applyFile(name string, o editOptions, out, errOut io.Writer) (int, error) {
-	f, err := readDocumentFile(name)
+	compared, code, err := c.compareFile(name)
 	if err != nil {
-		return ExitRefused, err
-	}
-	_, current, err := c.fetchSections()
-	if err != nil {
-		return ExitFailed, err
-	}
-	changes, err := computeChanges(f, current)
-	if err != nil {
-		return ExitFailed, err
+		return code, err
 	}
-	if len(changes) == 0 && o.editID == "" {
+	if len(compared.changes) == 0 && o.editID == "" {
 		fmt.Fprintln(errOut, "the file changes nothing")
 		return ExitOK, nil
 	}
-	if code, err := checkBaseRevisions(f, changes, o.overwrite); err != nil {
+	if code, err := checkBaseRevisions(compared.file, compared.changes, o.overwrite); err != nil {
 		return code, err
 	}
-	if err := validateMerged(f, current); err != nil {
+	if err := validateMerged(compared.file, compared.current); err != nil {
 		return ExitRefused, err
 	}
-	return c.sendEdit(newEdit(changes, o), out, errOut)
+	return c.sendEdit(newEdit(compared.changes, o), out, errOut)
 }
 
 // checkBaseRevisions verifies that the patches were computed against the
--- a/internal/cli/config_diff.go
+++ b/internal/cli/config_diff.go
@@ -21,25 +21,17 @@
 }
 
 func (c *client) diff(name string, out io.Writer) (int, error) {
-	f, err := readDocumentFile(name)
+	compared, code, err := c.compareFile(name)
 	if err != nil {
-		return ExitRefused, err
-	}
-	_, current, err := c.fetchSections()
-	if err != nil {
-		return ExitFailed, err
+		return code, err
 	}
-	changes, err := computeChanges(f, current)
-	if err != nil {
-		return ExitFailed, err
-	}
-	if err := c.printChanges(changes, out); err != nil {
+	if err := c.printChanges(compared.changes, out); err != nil {
 		return ExitFailed, err
 	}
-	if err := validateMerged(f, current); err != nil {
+	if err := validateMerged(compared.file, compared.current); err != nil {
 		return ExitRefused, err
 	}
-	for _, ch := range changes {
+	for _, ch := range compared.changes {
 		if ch.base < ch.current.GetRevision() {
 			return ExitConflict, conflictError(ch)
 		}
