Count requests in flight in one type

Cause: routing.LeastOutstanding and servicepick.Picker each kept a map of requests in flight under a lock, with the same code to release them.

Change: serving.InFlight counts them for both.

--- a/internal/routing/baseline.go
+++ b/internal/routing/baseline.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/cuminwing/cuminwing/internal/serving"
@@ -22,8 +21,7 @@
 	// Rand breaks ties between equally loaded engines.
 	Rand *rand.Rand
 
-	mu       sync.Mutex
-	inFlight map[string]int
+	inFlight serving.InFlight
 }
 
 // Pick implements serving.Picker.
@@ -35,18 +33,12 @@
 	if len(engines) == 0 {
 		return nil, NoTarget
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	best := l.leastLoaded(engines)
-	if l.inFlight == nil {
-		l.inFlight = make(map[string]int)
-	}
-	l.inFlight[best.ID]++
-	return &serving.Pick{
-		Target: best,
-		Prefix: prefixHint(req.Call),
-		Done:   func(serving.AttemptResult) { l.release(best.ID) },
-	}, nil
+	var best *target.Target
+	done := l.inFlight.Begin(func(requests map[string]int) string {
+		best = l.leastLoaded(engines, requests)
+		return best.ID
+	})
+	return &serving.Pick{Target: best, Prefix: prefixHint(req.Call), Done: func(serving.AttemptResult) { done() }}, nil
 }
 
 // NoTarget is the refusal returned when no usable target exists for a request.
@@ -58,18 +50,7 @@
 	RetryAfter: time.Second,
 }
 
-func (l *LeastOutstanding) leastLoaded(engines []*target.Target) *target.Target {
+func (l *LeastOutstanding) leastLoaded(engines []*target.Target, requests map[string]int) *target.Target {
 	l.Rand.Shuffle(len(engines), func(i, j int) { engines[i], engines[j] = engines[j], engines[i] })
-	return slices.MinFunc(engines, func(a, b *target.Target) int {
-		return l.inFlight[a.ID] - l.inFlight[b.ID]
-	})
-}
-
-func (l *LeastOutstanding) release(id string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.inFlight[id]--
-	if l.inFlight[id] <= 0 {
-		delete(l.inFlight, id)
-	}
+	return slices.MinFunc(engines, func(a, b *target.Target) int { return requests[a.ID] - requests[b.ID] })
 }
--- a/internal/servicepick/picker.go
+++ b/internal/servicepick/picker.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/cuminwing/cuminwing/internal/serving"
@@ -29,8 +28,7 @@
 	Zone, Region string
 	Health       Health
 
-	mu       sync.Mutex
-	inFlight map[string]int
+	inFlight serving.InFlight
 }
 
 // noReplica is the refusal of a request if no replica can take it.
@@ -57,14 +55,14 @@
 		return nil, noReplica
 	}
 	rand.Shuffle(len(replicas), func(i, j int) { replicas[i], replicas[j] = replicas[j], replicas[i] })
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.inFlight == nil {
-		p.inFlight = make(map[string]int)
-	}
-	best := slices.MinFunc(replicas, func(a, b *target.Target) int { return p.cost(a) - p.cost(b) })
-	p.inFlight[best.ID]++
-	return &serving.Pick{Target: best, Done: func(serving.AttemptResult) { p.release(best.ID) }}, nil
+	var best *target.Target
+	done := p.inFlight.Begin(func(requests map[string]int) string {
+		best = slices.MinFunc(replicas, func(a, b *target.Target) int {
+			return p.cost(a, requests[a.ID]) - p.cost(b, requests[b.ID])
+		})
+		return best.ID
+	})
+	return &serving.Pick{Target: best, Done: func(serving.AttemptResult) { done() }}, nil
 }
 
 // Costs are in units of requests in flight. A replica in another zone is picked
@@ -77,8 +75,9 @@
 	penaltyUnit = 10 * time.Millisecond
 )
 
-func (p *Picker) cost(t *target.Target) int {
-	cost := p.inFlight[t.ID] + int(p.Health.Penalty(t.Ref())/penaltyUnit)
+// cost returns the cost of a replica with the given number of requests in flight.
+func (p *Picker) cost(t *target.Target, inFlight int) int {
+	cost := inFlight + int(p.Health.Penalty(t.Ref())/penaltyUnit)
 	switch {
 	case t.Zone == p.Zone:
 		return cost
@@ -87,12 +86,3 @@
 	}
 	return cost + otherRegionCost
 }
-
-func (p *Picker) release(id string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.inFlight[id]--
-	if p.inFlight[id] <= 0 {
-		delete(p.inFlight, id)
-	}
-}
