Read the end of a streamed body before the response of a service ends

Cause: in full-duplex mode net/http closes the body after the handler and after it has ended its background read; the end of the body starts that read again, and it meets the wait for the next request. Calls of services whose body exceeds 64 KiB returned with a rest unread: a refusal, or a response before the body had arrived. A rest that did not arrive kept the connection without a limit, also after a response that was cut off.

Change: package requestbody. A handler ends the reads of the transport, discards the rest of the body (16 MiB, 10 s, pauses of 1 s at most), and otherwise has the server close the connection. Refusals state their length.

The stand-in of a service can respond early; it is new.

--- a/internal/adapter/callerhttp/response.go
+++ b/internal/adapter/callerhttp/response.go
@@ -52,15 +52,21 @@
 	if r.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(retryAfterSeconds(r.RetryAfter)))
 	}
-	if r.Body != nil {
-		w.Header().Set("Content-Type", r.ContentType)
-		w.WriteHeader(r.Status)
-		_, _ = w.Write(r.Body)
-		return
+	contentType, body := r.ContentType, r.Body
+	if body == nil {
+		contentType, body = "application/json", errorBody(r)
 	}
-	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Type", contentType)
+	// With its length, the caller can tell the end of the response before the handler returns.
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(r.Status)
-	_ = json.NewEncoder(w).Encode(newAPIError(r))
+	_, _ = w.Write(body)
+}
+
+func errorBody(r *serving.Refusal) []byte {
+	// It fails for no value of this type.
+	body, _ := json.Marshal(newAPIError(r))
+	return append(body, '\n')
 }
 
 // eventSink writes server-sent events to a caller. It sends the response header
--- a/internal/adapter/callerhttp/service.go
+++ b/internal/adapter/callerhttp/service.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cuminwing/cuminwing/internal/adapter/requestbody"
 	"github.com/cuminwing/cuminwing/internal/adapter/targethttp"
 	"github.com/cuminwing/cuminwing/internal/config"
 	"github.com/cuminwing/cuminwing/internal/serving"
@@ -37,16 +38,39 @@
 	}
 	defer release()
 	call := s.newCall(r, snap, id, name, route)
-	req, refusal := newServiceRequest(w, r, call)
+	var streamed *requestbody.Streamed
+	if call.Route.Run != config.RunAtMostOnce {
+		streamed = requestbody.Stream(w, r, snap.Document.Limits.MaxBodyBytes)
+	}
+	if complete := s.forward(w, r, id, call, streamed); !complete {
+		streamed.Abort()
+		// Abort the connection, so that the caller cannot mistake a truncated
+		// response for a complete one.
+		panic(http.ErrAbortHandler)
+	}
+	streamed.End()
+}
+
+// forward sends a call to a target and its response, or a refusal, to the caller. It reports
+// whether the response is complete.
+func (s *Server) forward(w http.ResponseWriter, r *http.Request, id identity, call *serving.Call, streamed *requestbody.Streamed) bool {
+	req, refusal := newServiceRequest(w, r, call, streamed)
 	if refusal != nil {
 		writeRefusal(w, refusal)
-		return
+		return true
 	}
 	ctx, cancel := s.watchKey(r.Context(), id)
 	defer cancel()
 	sink := &serviceSink{w: w, control: http.NewResponseController(w)}
 	outcome := s.Serving.Forward(ctx, call, req, sink)
-	finishServiceResponse(w, sink, outcome.Refusal)
+	switch {
+	case outcome.Refusal == nil:
+	case sink.headerWritten:
+		return false
+	default:
+		writeRefusal(w, outcome.Refusal)
+	}
+	return true
 }
 
 func (s *Server) admitService(r *http.Request, snap *config.Snapshot, route config.Route) (identity, *serving.Refusal) {
@@ -84,7 +108,7 @@
 }
 
 // newServiceRequest removes caller keys from the call and prepares its body.
-func newServiceRequest(w http.ResponseWriter, r *http.Request, call *serving.Call) (serving.ServiceRequest, *serving.Refusal) {
+func newServiceRequest(w http.ResponseWriter, r *http.Request, call *serving.Call, streamed *requestbody.Streamed) (serving.ServiceRequest, *serving.Refusal) {
 	scrub := newScrubber(call.Snapshot, r)
 	path := r.URL.EscapedPath()
 	if scrub.containsKey(path) {
@@ -102,10 +126,10 @@
 		header.Set("User-Agent", "")
 	}
 	req := serving.ServiceRequest{Method: r.Method, URI: uri, Header: header}
-	if call.Route.Run == config.RunAtMostOnce {
+	if streamed == nil {
 		return bufferBody(w, r, call, scrub, req)
 	}
-	return streamBody(w, r, call, scrub, req)
+	return streamBody(w, r, call, scrub, req, streamed)
 }
 
 // bufferBody reads the whole body before dispatch, because its hash is part of
@@ -127,13 +151,10 @@
 
 // streamBody buffers the start of the body. If the buffer holds the whole body,
 // the call can be retried.
-func streamBody(w http.ResponseWriter, r *http.Request, call *serving.Call, scrub *scrubber, req serving.ServiceRequest) (serving.ServiceRequest, *serving.Refusal) {
+func streamBody(w http.ResponseWriter, r *http.Request, call *serving.Call, scrub *scrubber, req serving.ServiceRequest, streamed *requestbody.Streamed) (serving.ServiceRequest, *serving.Refusal) {
 	control := http.NewResponseController(w)
-	// A service can respond before it has read the whole body.
-	_ = control.EnableFullDuplex()
 	_ = control.SetReadDeadline(time.Now().Add(call.Route.Timeout()))
-	limited := http.MaxBytesReader(w, r.Body, call.Snapshot.Document.Limits.MaxBodyBytes)
-	head, err := io.ReadAll(io.LimitReader(limited, maxReplayBytes))
+	head, err := io.ReadAll(io.LimitReader(streamed, maxReplayBytes))
 	if err != nil {
 		return req, bodyRefusal(err)
 	}
@@ -148,7 +169,7 @@
 		return req, nil
 	}
 	req.ContentLength = r.ContentLength
-	rest := refusalReader{scrub.guardBody(io.MultiReader(bytes.NewReader(head), limited))}
+	rest := refusalReader{scrub.guardBody(io.MultiReader(bytes.NewReader(head), streamed))}
 	req.Body = func() io.Reader { return rest }
 	return req, nil
 }
@@ -195,15 +216,3 @@
 	}
 	return n, err
 }
-
-func finishServiceResponse(w http.ResponseWriter, sink *serviceSink, refusal *serving.Refusal) {
-	switch {
-	case refusal == nil:
-	case sink.headerWritten:
-		// Abort the connection, so that the caller cannot mistake a truncated
-		// response for a complete one.
-		panic(http.ErrAbortHandler)
-	default:
-		writeRefusal(w, refusal)
-	}
-}
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -32,6 +32,9 @@
 	Status int
 	// Delay is the time between execution and response.
 	Delay time.Duration
+	// RespondEarly responds before the rest of the request body has arrived: to the
+	// request's headers, with the body "early", or as much of it as CloseAfterBytes.
+	RespondEarly bool
 	// DropResponse executes the request, then closes the connection without a
 	// response.
 	DropResponse bool
@@ -165,6 +168,9 @@
 const maxRecordedBody = 1 << 20
 
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	if s.respondEarly(w) {
+		return
+	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxRecordedBody))
 	if err != nil {
 		return
@@ -189,6 +195,31 @@
 	s.writeResponse(w, body, faults)
 }
 
+// respondEarly responds to a request whose body has not been read, if so configured, then
+// discards what arrives. The request does not count as executed.
+func (s *Service) respondEarly(w http.ResponseWriter) bool {
+	s.mu.Lock()
+	faults := s.faults
+	s.mu.Unlock()
+	if !faults.RespondEarly {
+		return false
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	body := "early"
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(body))
+	if faults.CloseAfterBytes > 0 {
+		body = body[:faults.CloseAfterBytes]
+	}
+	_, _ = io.WriteString(conn, body)
+	// A connection that is closed with unread bytes would be reset, and the response lost.
+	_, _ = io.Copy(io.Discard, conn)
+	return true
+}
+
 func (s *Service) writeResponse(w http.ResponseWriter, body []byte, faults ServiceFaults) {
 	if faults.CloseAfterBytes == 0 || faults.CloseAfterBytes >= len(body) {
 		_, _ = w.Write(body)
