Close the connection of a refused body that is not read to its end

Cause: after a refusal a front reads the rest of the body in full-duplex mode, up to the deadline of the request. When that read failed, the server did not close the connection, as a comment assumed, but waited for the next request, and took what arrived later of the body for one.

Change: the front has the server close the connection unless the body has ended.

--- a/internal/proxy/incoming.go
+++ b/internal/proxy/incoming.go
@@ -5,6 +5,10 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cuminwing/cuminwing/internal/adapter/requestbody"
 )
 
 const (
@@ -77,8 +81,10 @@
 	ctx, cancel := context.WithDeadline(c.ctx, c.started.Add(min(limit, maxDiscardTime)))
 	defer cancel()
 	defer c.limitBodyRead(ctx)()
-	// After an error the server closes the connection.
-	_, _ = io.CopyN(io.Discard, c.r.Body, maxDiscardedRequestBytes)
+	if _, err := io.CopyN(io.Discard, c.r.Body, maxDiscardedRequestBytes); !errors.Is(err, io.EOF) {
+		// Otherwise the server takes the rest of the body for a request.
+		requestbody.CloseConnection(c.w)
+	}
 }
 
 // endUnread returns the refusal of a request whose body has not arrived before its deadline
--- a/internal/proxy/upload_test.go
+++ b/internal/proxy/upload_test.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -46,3 +48,32 @@
 		})
 	}
 }
+
+// Guards against the rest of a refused body that is taken for a request, because it arrives
+// only after the server has stopped waiting for it.
+func TestRestOfARefusedBodyIsNotTakenForARequest(t *testing.T) {
+	f := newFront(t, gatewayconfig.Route{Kind: gatewayconfig.RunOnce}, newTarget(t, respondOK("ran")))
+	returned := make(chan struct{}, 2)
+	f.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.handler.ServeHTTP(w, r)
+		returned <- struct{}{}
+	}))
+	t.Cleanup(f.server.Close)
+	conn := f.dialCaller(t)
+	rest := "GET /x HTTP/1.1\r\nHost: a.example\r\n\r\n"
+	fmt.Fprintf(conn, "POST /x HTTP/1.1\r\nHost: a.example\r\nId: r1\r\nKey: other\r\nLimit: 100\r\nContent-Length: %d\r\n\r\nhead", len("head")+len(rest))
+	reader := bufio.NewReader(conn)
+	resp, err := http.ReadResponse(reader, nil)
+	if err != nil || resp.StatusCode != http.StatusUnauthorized {
+		t.Fatalf("response %v, error %v; want 401", resp, err)
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		t.Fatal(err)
+	}
+	<-returned
+	// The connection may have ended.
+	_, _ = io.WriteString(conn, rest)
+	if resp, err := http.ReadResponse(reader, nil); err == nil {
+		t.Errorf("the rest of the body got the response %d, want the end of the connection", resp.StatusCode)
+	}
+}
