Keep the deadline of a body that has not arrived

Cause: after the read of a body had timed out, cuminwingd cleared the deadline and wrote the refusal. net/http reads the rest of the body before it writes the headers, now without a deadline, so a caller whose upload stalls got no refusal.

Change: the deadline is cleared only after a complete body.

Result: TestDeadlineOfAnIncompleteBodyStays fails before and passes after.

--- a/internal/adapter/callerhttp/decode.go
+++ b/internal/adapter/callerhttp/decode.go
@@ -56,12 +56,14 @@
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	// Clear the deadline: the server continues to read the connection to detect
-	// that the caller has disconnected.
-	_ = control.SetReadDeadline(time.Time{})
 	if err != nil {
+		// The deadline stays: the server reads the rest of the body before it sends
+		// the refusal.
 		return nil, bodyRefusal(err)
 	}
+	// Clear the deadline: the server continues to read the connection to detect
+	// that the caller has disconnected.
+	_ = control.SetReadDeadline(time.Time{})
 	return body, nil
 }
 
