Call each known member of the core before one is called again

Cause: a front called the first address whose backoff (125 to 250 ms at first) had ended. A call to an address where nothing runs takes 1.2 s, so with two of them in front the search called these two in turn for about 10 s, and read the seeds again only after that. Beside it, the list of a member that does not serve yet replaced the known one.

Change: an address is called again only after each other one has failed once since the last served call; the seeds are read again at that moment; a list of a member that does not serve is added.

--- a/internal/edge/frontsync.go
+++ b/internal/edge/frontsync.go
@@ -59,9 +59,11 @@
 		if noWait = errors.Is(err, errReportDue); noWait {
 			continue
 		}
-		finder.SetMembers(decodeMembers(poll.response.GetCore()))
-		if err == nil {
+		if members := decodeMembers(poll.response.GetCore()); err == nil {
+			finder.SetMembers(members)
 			err = f.applyPoll(poll)
+		} else {
+			finder.AddMembers(members)
 		}
 		if err != nil {
 			finder.Failed(boottime.Now(), address)
--- a/internal/fleetsync/finder.go
+++ b/internal/fleetsync/finder.go
@@ -60,6 +60,8 @@
 	// is the end of the pause after the last failure.
 	failures    int
 	pausedUntil time.Duration
+	// tries counts the failed calls to each address since the last served one.
+	tries map[string]int
 }
 
 type backoff struct {
@@ -69,31 +71,38 @@
 
 // NewFinder returns the Finder of a front that knows only the seeds.
 func NewFinder(vm, zone string, regions map[string]string, random *rand.Rand, seeds []string, reload func() []string) *Finder {
-	return &Finder{vm: vm, zone: zone, regions: regions, random: random, seeds: seeds, reloadSeeds: reload, backoffs: make(map[string]backoff)}
+	return &Finder{vm: vm, zone: zone, regions: regions, random: random, seeds: seeds, reloadSeeds: reload, backoffs: make(map[string]backoff), tries: make(map[string]int)}
 }
 
 // Next returns the member to call, and how long to wait before the call. A member
 // that has failed is passed over until its backoff has ended; if all members have
-// failed, the first whose backoff ends is next.
+// failed, the first whose backoff ends is next. A call to an address where nothing
+// runs can take longer than a backoff, so no member is called again before each
+// other one has been called.
 func (f *Finder) Next(now time.Duration) (address string, wait time.Duration) {
 	if now < f.pausedUntil {
 		return "", f.pausedUntil - now
 	}
-	first := ""
-	for _, m := range f.candidates() {
-		until := f.backoffs[m.Address].until
-		if until <= now {
-			return m.Address, 0
-		}
-		if first == "" || until < f.backoffs[first].until {
-			first = m.Address
-		}
-	}
-	if now >= f.nextReload {
+	address = f.choose(now)
+	if f.tries[address] > 0 && now >= f.nextReload {
 		f.nextReload = now + seedReloadInterval
 		f.seeds = f.reloadSeeds()
+		address = f.choose(now)
 	}
-	return first, 0
+	return address, 0
+}
+
+// choose returns the best candidate.
+func (f *Finder) choose(now time.Duration) string {
+	list := f.candidates()
+	slices.SortStableFunc(list, func(a, b Member) int {
+		waitA, waitB := max(f.backoffs[a.Address].until-now, 0), max(f.backoffs[b.Address].until-now, 0)
+		return cmp.Or(cmp.Compare(waitA, waitB), cmp.Compare(f.tries[a.Address], f.tries[b.Address]))
+	})
+	if len(list) == 0 {
+		return ""
+	}
+	return list[0].Address
 }
 
 // candidates returns the members and seeds in the order of preference.
@@ -135,6 +144,7 @@
 	f.backoffs[address] = b
 	mean := min(minPause<<min(f.failures, maxPauseDoublings), maxPause)
 	f.failures++
+	f.tries[address]++
 	f.pausedUntil = now + time.Duration(f.random.Int64N(int64(2*mean)))
 }
 
@@ -142,9 +152,24 @@
 func (f *Finder) Succeeded(address string) {
 	delete(f.backoffs, address)
 	f.failures = 0
+	clear(f.tries)
+}
+
+// AddMembers adds members that are known to one that did not serve the call. It may
+// have started a moment ago and have read an old list from its log, so the known
+// members are kept.
+func (f *Finder) AddMembers(members []Member) {
+	list := slices.Clone(f.members)
+	for _, m := range members {
+		if !slices.ContainsFunc(list, func(known Member) bool { return known.Address == m.Address }) {
+			list = append(list, m)
+		}
+	}
+	f.members = list[:min(len(list), maxCandidates)]
 }
 
-// SetMembers replaces the known members of the core. The seeds stay candidates,
+// SetMembers replaces the known members of the core with those that a served call
+// returned. The seeds stay candidates,
 // because after a long disconnection they may be the only valid addresses.
 func (f *Finder) SetMembers(members []Member) {
 	if len(members) == 0 {
