--- a/internal/edge/system_test.go
+++ b/internal/edge/system_test.go
@@ -77,6 +77,7 @@
 	metricsPort int
 	// gracePeriod is that of fronts, if it is not 0.
 	gracePeriod time.Duration
+	logger      *zap.Logger
 }
 
 type runningCore struct {
@@ -129,7 +130,7 @@
 // configure before their start.
 func newDeploymentWith(t *testing.T, cores int, configure func(*runningCore)) *deployment {
 	t.Helper()
-	d := &deployment{t: t, port: allocatePort(t)}
+	d := &deployment{t: t, port: allocatePort(t), logger: newTestLogger(t)}
 	controlPort := strconv.Itoa(allocatePort(t))
 	var seeds []string
 	for range cores {
@@ -155,7 +156,7 @@
 	ready := make(chan *Core, 1)
 	go func() {
 		c.done <- RunCore(ctx, c.settings, CoreOptions{
-			Logger: zap.NewNop(), Decode: decodeJSON, Engines: unreachableEngines{},
+			Logger: d.logger.With(zap.String("core", c.settings.VM)), Decode: decodeJSON, Engines: unreachableEngines{},
 			Disk: disk.Options{Open: c.disk.open, SegmentBytes: c.segmentBytes},
 			Control: func(core *Core) http.Handler {
 				c.latest.Store(core)
