--- a/internal/edge/frontquarantine.go
+++ b/internal/edge/frontquarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -28,6 +29,9 @@
 // refuses the next one. A faulty link resets all of them.
 const maxResetProbes = 3
 
+// maxLoggedNames limits the requests and the parts in the log line of one crash.
+const maxLoggedNames = 32
+
 // frontQuarantine implements proxy.Quarantine. A request that breaks off says that its
 // engine has crashed only if the engine cannot be reached afterwards.
 type frontQuarantine struct {
@@ -109,10 +113,28 @@
 	for _, r := range ended {
 		requests = append(requests, r.SentRequest)
 	}
-	q.logger.Info("engine crashed while it served requests", zap.String("target", t.ID), zap.Int("requests", len(requests)), zap.Error(err))
+	keys, parts := crashNames(requests)
+	q.logger.Info("engine crashed while it served requests", zap.String("target", t.ID), zap.Int("requests", len(requests)),
+		zap.Strings("keys", keys), zap.Strings("parts", parts), zap.Error(err))
 	q.RecordCrash(t.ID+"/"+strconv.FormatInt(t.Started, 10), at, requests, isUnresponsive(err))
 }
 
+// crashNames returns the sorted keys of requests and the names of their parts for the log, each
+// up to maxLoggedNames.
+func crashNames(requests []quarantine.SentRequest) (keys, parts []string) {
+	for _, r := range requests {
+		keys, parts = append(keys, r.Key), append(parts, r.Parts...)
+	}
+	return firstNames(keys), firstNames(parts)
+}
+
+// firstNames returns the first maxLoggedNames of the sorted names, each once.
+func firstNames(names []string) []string {
+	slices.Sort(names)
+	names = slices.Compact(names)
+	return names[:min(len(names), maxLoggedNames)]
+}
+
 // probeUntilKnown probes a target until the result is no reset, or maxResetProbes times.
 func (q *frontQuarantine) probeUntilKnown(address string) error {
 	err := q.probe(q.ctx, address)
--- a/internal/edge/frontquarantine_test.go
+++ b/internal/edge/frontquarantine_test.go
@@ -97,3 +97,17 @@
 		t.Errorf("quarantined %q after a further crash, want the released request", add)
 	}
 }
+
+// Guards against the log line of a crash without the requests that were in it, or with all of very
+// many.
+func TestCrashNames(t *testing.T) {
+	var requests []quarantine.SentRequest
+	for i := range 2 * maxLoggedNames {
+		r := quarantine.Request{Key: quarantine.RequestKey(strconv.Itoa(100 + i/2)), Parts: []string{"b", "a"}}
+		requests = append(requests, quarantine.SentRequest{Request: r})
+	}
+	keys, parts := crashNames(append(requests, requests...))
+	if len(keys) != maxLoggedNames || keys[1] != quarantine.RequestKey("101") || !slices.Equal(parts, []string{"a", "b"}) {
+		t.Errorf("keys %q, parts %q, want the first %d keys and two parts", keys, parts, maxLoggedNames)
+	}
+}
