Record the crashes of engines in the control log

Cause: the evidence was in the memory of the leader and of the fronts that saw a crash.

Change: the leader commits each crash as a front has reported it, with the completions that it knows of what was in the crash, and later the completions that ended evidence. A new leader begins with them. A clock that was set makes crashes older, or all the same age; both count for less.

--- a/internal/edge/coreleader.go
+++ b/internal/edge/coreleader.go
@@ -86,14 +86,15 @@
 	}
 }
 
-// startLeading creates the leader state from the recorded spending, unless the
+// startLeading creates the leader state from the recorded spending and crashes, unless the
 // replica has lost the leadership meanwhile.
 func (c *Core) startLeading(electedAt time.Duration) {
-	spent, quarantined := c.previousSpending(), c.registry.Quarantined()
+	spent := c.previousSpending()
+	evidence := newCrashEvidence(boottime.Now(), c.registry.Quarantined(), c.registry.Evidence())
 	c.mu.Lock()
 	if c.electedAt == electedAt {
 		c.fronts = fleetsync.NewFronts()
-		c.evidence = newCrashEvidence(quarantined)
+		c.evidence = evidence
 		c.allocator = ratelimit.NewShareAllocator(boottime.Now(), c.settings.Guarantees.Quota.Window, spent)
 	}
 	c.mu.Unlock()
--- a/internal/edge/corequarantine.go
+++ b/internal/edge/corequarantine.go
@@ -27,13 +27,28 @@
 	suspects []string
 }
 
-// newCrashEvidence returns the evidence of a new leader, given what is quarantined.
-func newCrashEvidence(quarantined []string) *crashEvidence {
+// newCrashEvidence returns the evidence of a new leader at now, given what is quarantined and what
+// the leaders before it have recorded.
+func newCrashEvidence(now time.Duration, quarantined []string, recorded quarantine.EvidenceRecord) *crashEvidence {
 	e := &crashEvidence{tracker: quarantine.NewTracker()}
 	e.tracker.SetQuarantined(quarantined)
+	e.tracker.Restore(now, time.Now(), recorded)
 	return e
 }
 
+// unrecorded returns the evidence that has to be recorded for the next leader.
+func (e *crashEvidence) unrecorded(now time.Duration) quarantine.Unrecorded {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.tracker.Unrecorded(now, time.Now())
+}
+
+func (e *crashEvidence) confirmRecorded(u quarantine.Unrecorded) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.tracker.ConfirmRecorded(u)
+}
+
 // record applies the report of a front.
 func (e *crashEvidence) record(now time.Duration, report *followv1.FrontReport) {
 	if len(report.GetCrashes()) == 0 && len(report.GetCompletions()) == 0 {
@@ -110,6 +125,7 @@
 		change.Quarantine = leader.evidence.withoutRefuted(union(change.Quarantine, add))
 		change.Release = union(change.Release, release)
 		if len(change.Quarantine) == 0 && len(change.Release) == 0 {
+			c.recordCrashes(ctx, leader.evidence)
 			continue
 		}
 		err := c.propose(ctx, control.KindFleet, change.Encode())
@@ -121,6 +137,20 @@
 	}
 }
 
+// recordCrashes commits the crashes that have been reported, so that the next leader knows them
+// even if the fronts that saw them are lost together with this one.
+func (c *Core) recordCrashes(ctx context.Context, evidence *crashEvidence) {
+	u := evidence.unrecorded(boottime.Now())
+	if u.IsEmpty() {
+		return
+	}
+	if err := c.propose(ctx, control.KindFleet, fleet.Command{Evidence: &u.Record}.Encode()); err != nil {
+		c.logger.Info("recording the crashes of engines failed", zap.Error(err))
+		return
+	}
+	evidence.confirmRecorded(u)
+}
+
 // union returns the sorted elements of both lists, each once.
 func union(a, b []string) []string {
 	list := slices.Concat(a, b)
--- a/internal/edge/frontquarantine_test.go
+++ b/internal/edge/frontquarantine_test.go
@@ -75,7 +75,7 @@
 // Guards against a fatal request that must crash three more engines after its release: a
 // more frequent one was in all of its crashes at first.
 func TestReleasedRequestIsQuarantinedAtItsNextCrash(t *testing.T) {
-	e := newCrashEvidence(nil)
+	e := newCrashEvidence(0, nil, quarantine.EvidenceRecord{})
 	rare, frequent := quarantine.RequestKey("rare"), quarantine.RequestKey("frequent")
 	crash := func(second int, keys ...string) {
 		c := quarantine.Crash{Engine: strconv.Itoa(second), At: time.Duration(second) * time.Second}
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cuminwing/cuminwing/internal/quarantine"
 	"github.com/cuminwing/cuminwing/internal/ratelimit"
 )
 
@@ -60,6 +61,8 @@
 	// Release removes them.
 	Quarantine []string `json:"quarantine,omitempty"`
 	Release    []string `json:"release,omitempty"`
+	// Evidence adds crashes of engines.
+	Evidence *quarantine.EvidenceRecord `json:"evidence,omitempty"`
 }
 
 // RequiredWeights is the version of a model that engines have to run.
@@ -114,7 +117,10 @@
 	// Quarantined maps the requests, and parts of prompts, that must not reach engines
 	// to the log index at which they were added.
 	Quarantined map[string]uint64 `json:"quarantined,omitempty"`
-	// Revision is the log index of the last change of anything but Spent.
+	// Evidence holds the latest crashes of engines. A change of it does not change Revision,
+	// and fronts do not receive it.
+	Evidence quarantine.EvidenceRecord `json:"evidence"`
+	// Revision is the log index of the last change of anything but Spent and Evidence.
 	Revision uint64 `json:"revision"`
 	// UrgentRevision is the log index of the last change after which some target
 	// must get no new requests.
@@ -217,6 +223,13 @@
 	return r.state.Spent
 }
 
+// Evidence returns the recorded crashes of engines. The caller must not modify it.
+func (r *Registry) Evidence() quarantine.EvidenceRecord {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Evidence
+}
+
 // DeltaSince returns the changes after a revision.
 func (r *Registry) DeltaSince(revision uint64) Delta {
 	r.mu.Lock()
@@ -238,6 +251,7 @@
 	maps.Copy(c.Quarantined, s.Quarantined)
 	c.Departed = append([]Departure(nil), s.Departed...)
 	c.Spent = s.Spent
+	c.Evidence = s.Evidence
 	c.Revision = s.Revision
 	c.UrgentRevision = s.UrgentRevision
 	return &c
@@ -305,6 +319,9 @@
 	if c.Spent != nil {
 		s.Spent = c.Spent
 	}
+	if c.Evidence != nil {
+		s.Evidence = s.Evidence.Add(*c.Evidence)
+	}
 	changed := false
 	for _, u := range c.Updates {
 		changed = s.setUpdateMark(index, u) || changed
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -21,6 +21,14 @@
 	// are known to be, and cleared holds those that have completed since.
 	quarantinedSince map[string]time.Duration
 	cleared          map[string]bool
+	// recorded holds the requests of each crash that are recorded for the next leader, or are
+	// about to be. unrecorded holds the crashes that are not recorded yet, and
+	// unrecordedCompletions the completions that have ended evidence since the last record.
+	recorded              map[crashID]map[string]bool
+	unrecorded            []unrecordedCrash
+	unrecordedCompletions map[string]time.Duration
+	// restoredAt is when the record of the previous leaders was applied; 0 if it was not.
+	restoredAt time.Duration
 	// lastPartQuarantine is when a part was last found to crash engines.
 	lastPartQuarantine time.Duration
 }
@@ -29,7 +37,8 @@
 func NewTracker() *Tracker {
 	return &Tracker{
 		suspects: make(map[string]*evidence), quarantined: make(map[string]bool), crashes: make(map[string][]time.Duration),
-		explained: make(map[crashID]bool), quarantinedSince: make(map[string]time.Duration), cleared: make(map[string]bool), lastPartQuarantine: math.MinInt64,
+		explained: make(map[crashID]bool), quarantinedSince: make(map[string]time.Duration), cleared: make(map[string]bool),
+		recorded: make(map[crashID]map[string]bool), unrecordedCompletions: make(map[string]time.Duration), lastPartQuarantine: math.MinInt64,
 	}
 }
 
@@ -50,6 +59,7 @@
 	if t.explained[id] {
 		return
 	}
+	t.noteCrash(id, c.Requests)
 	for _, r := range c.Requests {
 		t.recordSuspect(now, id, c.At, r.Key, 0, r)
 		for depth, part := range r.Parts {
@@ -60,9 +70,16 @@
 
 // identify returns the identity of a crash, which is the same for all reports about it. An
 // engine to which all requests of a report were sent after a crash was back, and has crashed
-// again.
+// again. For a crash from before the restored record, the closest recorded one is meant: the
+// leader that has recorded it may have had another clock.
 func (t *Tracker) identify(c Crash) crashID {
 	known := t.crashes[c.Engine]
+	if c.At < t.restoredAt && len(known) > 0 {
+		closest := slices.MinFunc(known, func(a, b time.Duration) int { return cmp.Compare((a - c.At).Abs(), (b - c.At).Abs()) })
+		if (closest - c.At).Abs() < sameCrashTime {
+			return crashID{c.Engine, closest}
+		}
+	}
 	for _, at := range slices.Backward(known) {
 		if (at-c.At).Abs() < sameCrashTime && c.firstSent() < at+restartTime {
 			return crashID{c.Engine, at}
@@ -120,7 +137,11 @@
 		return
 	}
 	e.lastCompletion = c.At
+	before := len(e.sightings)
 	e.sightings = without(e.sightings, func(s sighting) bool { return s.at <= c.At })
+	if len(e.sightings) < before {
+		t.unrecordedCompletions[c.Suspect] = c.At
+	}
 	e.updateSuspicion(now)
 }
 
@@ -203,6 +224,7 @@
 			delete(t.crashes, engine)
 		}
 	}
+	maps.DeleteFunc(t.recorded, func(id crashID, _ map[string]bool) bool { return now-id.at > evidenceLifetime })
 	maps.DeleteFunc(t.explained, func(id crashID, _ bool) bool { return now-id.at > evidenceLifetime })
 	for suspect, e := range t.suspects {
 		if len(e.sightings) > 0 && now-e.sightings[0].at > evidenceLifetime {
