Keep a pause that is asked for before the registry has the restart

Cause: a target that crashed and restarted under its ID asked a front for a pause 4 to 823 ms after its start. The front applied it to the incarnation that it knew; the registry entry of the new one began without it.

Change: a pause that was asked for after the start of the new incarnation, by the clocks of the target and the front, is kept.

--- a/internal/placement/admission.go
+++ b/internal/placement/admission.go
@@ -109,6 +109,15 @@
 	return a.endLimit(now) || changed
 }
 
+// keepPause keeps the pause of an earlier incarnation at the same address if it was asked for
+// after the start of the present one: a target that restarts under its ID responds before the
+// registry has the restart.
+func (a *admission) keepPause(earlier *admission, started time.Time) {
+	if !earlier.pauseSeen.Before(started) {
+		a.pausedUntil, a.pauseSeen = earlier.pausedUntil, earlier.pauseSeen
+	}
+}
+
 // setDraining records that the target drains, and reports whether that is new.
 func (a *admission) setDraining(now time.Time, fromPeer bool) bool {
 	if a.draining {
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -242,7 +242,11 @@
 // if the incarnation is the same; new weights invalidate the cache.
 func mergeMember(m *member, t Target) *member {
 	if m == nil || m.Address != t.Address || m.Started != t.Started {
-		return &member{Target: t, registryWeights: t.Weights, hash: xxhash.Sum64String(t.ID), parts: make(map[uint32]float64)}
+		next := &member{Target: t, registryWeights: t.Weights, hash: xxhash.Sum64String(t.ID), parts: make(map[uint32]float64)}
+		if m != nil && m.Address == t.Address {
+			next.admission.keepPause(&m.admission, time.UnixMilli(t.Started))
+		}
+		return next
 	}
 	weights := m.Weights
 	if t.Weights != m.registryWeights {
