Release what several causes explain together

Cause: a quarantined request was released only if one other suspect was in all of its crashes.

Change: a request or part is released if each of its crashes has another quarantined suspect that was in two or more crashes without it. Crashes that a quarantined part explains no longer count for the request then. One more crash without another cause quarantines it again.

--- a/internal/edge/corequarantine.go
+++ b/internal/edge/corequarantine.go
@@ -86,11 +86,7 @@
 	}
 	for _, suspect := range e.tracker.Released() {
 		release = append(release, suspect)
-		if !quarantine.IsRequestKey(suspect) {
-			// The evidence about a request stays, as one more crash shows that the
-			// release was a mistake.
-			e.tracker.Forget(suspect)
-		}
+		e.tracker.Release(suspect)
 	}
 	add = e.tracker.Due(now)
 	e.suspects = e.tracker.Suspects(now)
--- a/internal/quarantine/release.go
+++ b/internal/quarantine/release.go
@@ -88,16 +88,49 @@
 	return crashes >= minPartCrashes
 }
 
-// isExplained reports whether another quarantined suspect explains all crashes of one. A
-// part does not explain its own requests, which do not reach engines while either is
-// quarantined.
+// isExplained reports whether other quarantined suspects explain all crashes of one: one that was
+// in all of them and in more, or several that each crash engines without it.
 func (t *Tracker) isExplained(suspect string, e *evidence) bool {
+	var independent []*evidence
 	for other := range t.quarantined {
 		o := t.suspects[other]
-		if other == suspect || o == nil || IsRequestKey(other) != IsRequestKey(suspect) {
+		if other == suspect || o == nil || slices.Contains(e.parts, other) {
 			continue
 		}
-		if len(o.sightings) > len(e.sightings) && o.coversCrashes(e) {
+		if IsRequestKey(other) == IsRequestKey(suspect) && len(o.sightings) > len(e.sightings) && o.coversCrashes(e) {
+			return true
+		}
+		if distinctCrashes(without(o.sightings, func(s sighting) bool { return e.inCrash(s.crash) })) >= minSuspectCrashes {
+			independent = append(independent, o)
+		}
+	}
+	return len(e.sightings) > 0 && !slices.ContainsFunc(e.sightings, func(s sighting) bool {
+		return !slices.ContainsFunc(independent, func(o *evidence) bool { return o.inCrash(s.crash) })
+	})
+}
+
+// Release notes that a suspect is released. The crashes of a request stay, as one more shows that
+// the release was a mistake, but for those that a quarantined part explains.
+func (t *Tracker) Release(suspect string) {
+	if !IsRequestKey(suspect) {
+		t.Forget(suspect)
+		return
+	}
+	e := t.suspects[suspect]
+	if e == nil {
+		return
+	}
+	e.sightings = without(e.sightings, func(s sighting) bool { return t.hasFatalPart(e, s.crash) })
+	if distinctCrashes(e.sightings) < minSuspectCrashes {
+		e.suspectedSince = 0
+	}
+}
+
+// hasFatalPart reports whether a quarantined part that a request does not have was in a crash.
+func (t *Tracker) hasFatalPart(request *evidence, id crashID) bool {
+	for other := range t.quarantined {
+		o := t.suspects[other]
+		if o != nil && !IsRequestKey(other) && !slices.Contains(request.parts, other) && o.inCrash(id) {
 			return true
 		}
 	}
--- a/internal/quarantine/release_test.go
+++ b/internal/quarantine/release_test.go
@@ -137,3 +137,34 @@
 		t.Errorf("released %q, want the request that has completed", got)
 	}
 }
+
+// Guards against a sound request that stays quarantined although the causes of its crashes, a part
+// and another request, were found later: none of the two was in all of them (soak, seed 16001).
+func TestReleasedIfSeveralCausesExplainItsCrashes(t *testing.T) {
+	sound, fatal := RequestKey("sound"), RequestKey("fatal")
+	tracker := NewTracker()
+	for i := range 4 {
+		crashOf(tracker, fmt.Sprint("part ", i), 1+float64(i), request(fmt.Sprint("other-", i), "topic"))
+		crashOf(tracker, fmt.Sprint("request ", i), 1.5+float64(i), request("fatal"))
+	}
+	crashOf(tracker, "part 0", 1, request("sound"))
+	crashOf(tracker, "request 1", 2.5, request("sound"))
+	crashOf(tracker, "request 2", 3.5, request("sound"))
+	tracker.SetQuarantined([]string{fatal, sound})
+	if got := tracker.Released(); got != nil {
+		t.Errorf("released %q before the part was found, want none", got)
+	}
+	tracker.SetQuarantined([]string{fatal, sound, "topic"})
+	if got := tracker.Released(); !slices.Equal(got, []string{sound}) {
+		t.Fatalf("released %q, want the sound request", got)
+	}
+	tracker.Release(sound)
+	tracker.SetQuarantined([]string{fatal, "topic"})
+	if got := tracker.Due(8 * time.Second); got != nil {
+		t.Errorf("due %q after the release, want none", got)
+	}
+	crashOf(tracker, "alone", 9, request("sound"))
+	if got := tracker.Due(11 * time.Second); !slices.Equal(got, []string{sound}) {
+		t.Errorf("due %q after a crash without another cause, want the request", got)
+	}
+}
