Bound the work of releases, and release nothing for its only crash

The search for explaining suspects compared each quarantined one with all others; it uses an index of the quarantined suspects by crash now. What was in one known crash is not released because another suspect was in it: its other crashes may have expired, as they count for ten minutes and a quarantine lasts an hour.

Measured: TestOneCrashExoneratesNothing fails before ("released [request:fatal]"); the tests of the package pass.

--- a/internal/quarantine/explanation.go
+++ b/internal/quarantine/explanation.go
@@ -1,6 +1,6 @@
 package quarantine
 
-// causesByCrash maps crashes to the suspects that are likely to have caused them.
+// causesByCrash maps crashes to the suspects that may have caused them.
 type causesByCrash map[crashID][]string
 
 // likelyCauses returns the suspects that have never completed and were in several crashes. What
@@ -9,16 +9,30 @@
 func (t *Tracker) likelyCauses() causesByCrash {
 	causes := make(causesByCrash)
 	for suspect, e := range t.suspects {
-		if e.hasCompleted() || e.suspectedSince == 0 {
-			continue
+		if !e.hasCompleted() && e.suspectedSince != 0 {
+			causes.add(suspect, e)
 		}
-		for _, s := range e.sightings {
-			causes[s.crash] = append(causes[s.crash], suspect)
+	}
+	return causes
+}
+
+// quarantinedByCrash returns the quarantined suspects that were in each crash.
+func (t *Tracker) quarantinedByCrash() causesByCrash {
+	causes := make(causesByCrash)
+	for suspect := range t.quarantined {
+		if e := t.suspects[suspect]; e != nil {
+			causes.add(suspect, e)
 		}
 	}
 	return causes
 }
 
+func (causes causesByCrash) add(suspect string, e *evidence) {
+	for _, s := range e.sightings {
+		causes[s.crash] = append(causes[s.crash], suspect)
+	}
+}
+
 // unexplained returns the crashes of a suspect without those that have a likelier cause.
 func (causes causesByCrash) unexplained(e *evidence) []sighting {
 	if !e.hasCompleted() {
--- a/internal/quarantine/release.go
+++ b/internal/quarantine/release.go
@@ -61,10 +61,10 @@
 // Released returns what was quarantined by mistake: it has completed since, or its crashes have
 // other causes.
 func (t *Tracker) Released() []string {
-	causes := t.likelyCauses()
+	likely, quarantined := t.likelyCauses(), t.quarantinedByCrash()
 	var list []string
 	for suspect := range t.quarantined {
-		if t.cleared[suspect] || t.isExonerated(suspect, causes) {
+		if t.cleared[suspect] || t.isExonerated(suspect, likely, quarantined) {
 			list = append(list, suspect)
 		}
 	}
@@ -73,9 +73,9 @@
 }
 
 // isExonerated reports whether the evidence no longer speaks against a quarantined suspect.
-func (t *Tracker) isExonerated(suspect string, causes causesByCrash) bool {
+func (t *Tracker) isExonerated(suspect string, likely, quarantined causesByCrash) bool {
 	e := t.suspects[suspect]
-	return e != nil && (t.isExplained(suspect, e) || e.hasCompleted() && !t.isIncriminated(suspect, e, causes))
+	return e != nil && (t.isExplained(suspect, e, quarantined) || e.hasCompleted() && !t.isIncriminated(suspect, e, likely))
 }
 
 // isIncriminated reports whether a suspect was in enough crashes, without a likelier cause, to be
@@ -90,23 +90,27 @@
 
 // isExplained reports whether other quarantined suspects explain all crashes of one: one that was
 // in all of them and in more, or several that each crash engines without it.
-func (t *Tracker) isExplained(suspect string, e *evidence) bool {
-	var independent []*evidence
+func (t *Tracker) isExplained(suspect string, e *evidence, quarantined causesByCrash) bool {
 	for other := range t.quarantined {
 		o := t.suspects[other]
-		if other == suspect || o == nil || slices.Contains(e.parts, other) {
+		if other == suspect || o == nil || IsRequestKey(other) != IsRequestKey(suspect) {
 			continue
 		}
-		if IsRequestKey(other) == IsRequestKey(suspect) && len(o.sightings) > len(e.sightings) && o.coversCrashes(e) {
+		if len(o.sightings) > len(e.sightings) && o.coversCrashes(e) {
 			return true
 		}
-		if distinctCrashes(without(o.sightings, func(s sighting) bool { return e.inCrash(s.crash) })) >= minSuspectCrashes {
-			independent = append(independent, o)
-		}
 	}
-	return len(e.sightings) > 0 && !slices.ContainsFunc(e.sightings, func(s sighting) bool {
-		return !slices.ContainsFunc(independent, func(o *evidence) bool { return o.inCrash(s.crash) })
-	})
+	isUnexplained := func(s sighting) bool {
+		return !slices.ContainsFunc(quarantined[s.crash], func(other string) bool {
+			return other != suspect && !slices.Contains(e.parts, other) && t.suspects[other].crashesWithout(e)
+		})
+	}
+	return len(e.sightings) >= minSuspectCrashes && !slices.ContainsFunc(e.sightings, isUnexplained)
+}
+
+// crashesWithout reports whether the suspect was in several crashes without another one.
+func (e *evidence) crashesWithout(other *evidence) bool {
+	return distinctCrashes(without(e.sightings, func(s sighting) bool { return other.inCrash(s.crash) })) >= minSuspectCrashes
 }
 
 // Release notes that a suspect is released. The crashes of a request stay, as one more shows that
--- a/internal/quarantine/release_test.go
+++ b/internal/quarantine/release_test.go
@@ -168,3 +168,17 @@
 		t.Errorf("due %q after a crash without another cause, want the request", got)
 	}
 }
+
+// Guards against the release of a fatal request of whose crashes all but one have expired, because
+// a quarantined part was in that one.
+func TestOneCrashExoneratesNothing(t *testing.T) {
+	tracker := NewTracker()
+	for i := range 4 {
+		crashOf(tracker, fmt.Sprint(i), 1+float64(i), request(fmt.Sprint("other-", i), "topic"))
+	}
+	crashOf(tracker, "0", 1, request("fatal"))
+	tracker.SetQuarantined([]string{RequestKey("fatal"), "topic"})
+	if got := tracker.Released(); got != nil {
+		t.Errorf("released %q, want none", got)
+	}
+}
