--- a/internal/gatewayconfig/document.go
+++ b/internal/gatewayconfig/document.go
@@ -45,6 +45,9 @@
 	// MaxPause is the maximum time between two events of a stream that meets
 	// its objective.
 	MaxPause time.Duration
+	// Patience is the longest time for which callers of a stream wait for its first event,
+	// and for each later one; 0 if callers wait until their deadline.
+	Patience time.Duration
 	// Priority is the priority of the route's requests; 0 is the highest.
 	Priority int
 	Split    []WeightedService
