Let a request bound and refuse the choice of its target

A request had no way to prefer a target that can begin it in time to the home of its prompt, and a choice that was not used had been announced to the other fronts as work. While many requests are refused, all engines would have seemed ever fuller. Request.Bounds makes targets beyond the expected time a last resort; Request.Accept is asked before anything is recorded.

TestRefusedChoiceLeavesNoTrace and TestEngineBeyondTheBoundsIsChosenLast cover both; without the penalty the latter fails, and without the early return the former does.

--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -100,6 +100,11 @@
 	Priority int
 	// Exclude lists the IDs of targets that have failed this request.
 	Exclude []string
+	// Bounds are the times beyond which a target is chosen only if there is no better one.
+	Bounds Bounds
+	// Accept is asked about the chosen target. If it reports false, the choice is returned
+	// with Refused set, and nothing is recorded. It must not call the Placer. It may be nil.
+	Accept func(c *Choice) bool
 }
 
 // sharedParts returns the parts that other requests may share.
@@ -127,6 +132,8 @@
 	// may be refused because of it.
 	Expected time.Duration
 	Certain  bool
+	// Refused is set if Request.Accept has rejected the choice. Done must not be called.
+	Refused bool
 
 	member *member
 	// workMS is the time that the engine needs to fetch and prefill the prompt.
@@ -279,7 +286,10 @@
 	if best == nil {
 		best = p.cheapest(s, &req, now, use, true)
 	}
-	if best != nil {
+	if best == nil {
+		return nil, len(s.members)
+	}
+	if best.Refused = req.Accept != nil && !req.Accept(best); !best.Refused {
 		p.recordChoice(best, &req, now)
 	}
 	return best, len(s.members)
@@ -303,7 +313,7 @@
 			cost += staleWeightsPenaltyMS
 		}
 		c.Expected = time.Duration((cost - m.currentFailureRate(now)*failurePenaltyMS) * float64(time.Millisecond))
-		cost += use.delayToOthers(m, c.workMS)
+		cost += use.delayToOthers(m, c.workMS) + req.Bounds.penaltyMS(c)
 		if c.Home {
 			cost -= homeDiscount * float64(totalTokens(req.sharedParts())) / prefillTokensPerMS
 		}
