Refuse requests that no target can begin in time

A front sent each request to the best target, also if it expected the first byte after 5 to 15 s and the caller of the stream would leave after 2 s. The engine then worked for callers that had left.

internal/overload decides after the choice of the target and before anything is recorded: a request is refused if recent responses support an expected first byte beyond what the caller bears, or if a queue that has been long for an objective must become short.

--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -17,6 +18,7 @@
 	"github.com/cuminwing/cuminwing/internal/adapter/targetconn"
 	"github.com/cuminwing/cuminwing/internal/fleet"
 	"github.com/cuminwing/cuminwing/internal/gatewayconfig"
+	"github.com/cuminwing/cuminwing/internal/overload"
 	"github.com/cuminwing/cuminwing/internal/pause"
 	"github.com/cuminwing/cuminwing/internal/placement"
 	"github.com/cuminwing/cuminwing/internal/proxy"
@@ -71,6 +73,7 @@
 	settings Settings
 	logger   *zap.Logger
 	decode   DocumentDecoder
+	overload *overload.Control
 	placer   *placement.Placer
 	// quarantine keeps requests that crash engines away from them.
 	quarantine *frontQuarantine
@@ -152,6 +155,7 @@
 	f := &Front{
 		settings: s, logger: options.Logger, decode: options.Decode,
 		placer:       placement.New(s.Zone, s.Region, time.Now),
+		overload:     overload.New(time.Now, rand.Float64),
 		peers:        &frontPeers{},
 		staleWeights: newStaleWeightsFilter(s.Guarantees.StaleWeights - staleWeightsMargin),
 		shares:       ratelimit.NewShareLimiter(s.Guarantees.Quota),
@@ -172,6 +176,9 @@
 	for _, reason := range []placement.PassReason{placement.PassDraining, placement.PassPaused, placement.PassLimited} {
 		f.counters.Gauge("targets_passed_over_"+reason.String(), func() any { return f.placer.PassedOver(reason) })
 	}
+	for _, reason := range []overload.Reason{overload.BeyondPatience, overload.StandingQueue, overload.Probe} {
+		f.counters.Gauge("overload_"+reason.String(), func() any { return f.overload.Count(reason) })
+	}
 	f.quarantine = newFrontQuarantine(f.pool.Probe, f.logger)
 	f.quarantine.leaves = f.placer.Leaves
 	f.counters.Gauge("connections_opened", func() any { return f.pool.OpenedConnections() })
@@ -181,6 +188,7 @@
 		Codec: options.Codec, State: f.servingState,
 		Placer: f.placer, Quarantine: f.quarantine, Quota: f.shares, Pool: f.pool, Logger: f.logger, BootClock: boottime.Now,
 		Memory:   bodyMemory(&s),
+		Overload: f.overload,
 		KeyLease: s.Guarantees.KeyRevocation - keyValidityMargin, DenialLease: s.Guarantees.DocumentDelay, StateExpected: f.stateExpected, Shutdown: f.stop, Observe: f.recordRequest,
 		Budget: &proxy.Budget{Ratio: s.Guarantees.RetryRatio, Slack: s.Guarantees.RetrySlack, Window: s.Guarantees.RetryWindow},
 	}
--- /dev/null
+++ b/internal/overload/share.go
@@ -0,0 +1,81 @@
+package overload
+
+import (
+	"math"
+	"time"
+)
+
+// While requests are refused, the less urgent ones are refused first. But no workspace and no
+// priority is starved: one that gets less than a part of the average share may wait longer.
+
+const (
+	// shareHalfLife is the half-life of the requests that count for the shares.
+	shareHalfLife = 4 * time.Second
+	// starvedRatio is the part of the share of all requests below which a group is starved.
+	starvedRatio = 0.5
+	// minOffered is the number of requests from which the share of a group is known.
+	minOffered = 4
+	// priorityStep is the ratio of the waits that two successive priorities may have. The
+	// difference is the room that is kept for the more urgent requests.
+	priorityStep = 0.8
+	// maxWorkspaces limits the workspaces that are tracked.
+	maxWorkspaces = 4096
+)
+
+// share counts the requests of a group, decayed as of at.
+type share struct {
+	offered, admitted float64
+	at                time.Time
+	// wait is the wait that the requests of the group may have.
+	wait time.Duration
+}
+
+func (s *share) record(now time.Time, admitted bool) {
+	factor := math.Exp2(-float64(now.Sub(s.at)) / float64(shareHalfLife))
+	s.offered, s.admitted, s.at = s.offered*factor+1, s.admitted*factor, now
+	if admitted {
+		s.admitted++
+	}
+}
+
+// shares are the shares of the requests of a service that are admitted.
+type shares struct {
+	all        share
+	workspaces map[string]*share
+	priorities map[int]*share
+}
+
+func (s *shares) record(now time.Time, r Request, admitted bool) {
+	if s.priorities == nil || len(s.workspaces) > maxWorkspaces {
+		s.workspaces, s.priorities = make(map[string]*share), make(map[int]*share)
+	}
+	if s.workspaces[r.Workspace] == nil {
+		s.workspaces[r.Workspace] = &share{}
+	}
+	if s.priorities[r.Priority] == nil {
+		s.priorities[r.Priority] = &share{}
+	}
+	s.all.record(now, admitted)
+	s.workspaces[r.Workspace].record(now, admitted)
+	s.priorities[r.Priority].record(now, admitted)
+	s.priorities[r.Priority].wait = allowedWait(r)
+}
+
+// starves reports whether a group gets less than its part of the average share.
+func (s *shares) starves(g *share) bool {
+	return g != nil && g.offered >= minOffered && g.admitted*s.all.offered < starvedRatio*s.all.admitted*g.offered
+}
+
+// waitLimit returns the longest wait with which a request is admitted to a standing queue.
+func (s *service) waitLimit(now time.Time, r Request) time.Duration {
+	limit := allowedWait(r)
+	if s.shares.starves(s.shares.workspaces[r.Workspace]) || s.shares.starves(s.shares.priorities[r.Priority]) {
+		return r.Objective
+	}
+	for priority, g := range s.shares.priorities {
+		if priority < r.Priority && now.Sub(g.at) < calmTime {
+			limit = min(limit, time.Duration(priorityStep*float64(g.wait)))
+		}
+	}
+	return limit
+}
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -11,6 +11,7 @@
 
 	"github.com/cuminwing/cuminwing/internal/adapter/targetconn"
 	"github.com/cuminwing/cuminwing/internal/gatewayconfig"
+	"github.com/cuminwing/cuminwing/internal/overload"
 	"github.com/cuminwing/cuminwing/internal/placement"
 )
 
@@ -22,8 +23,11 @@
 	// Quarantine is nil if no requests are kept away from engines.
 	Quarantine Quarantine
 	Quota      Quota
-	Budget     *Budget
-	Pool       *targetconn.Pool
+	// Overload decides which requests are refused because no target can begin them in
+	// time; nil if none are.
+	Overload *overload.Control
+	Budget   *Budget
+	Pool     *targetconn.Pool
 	// Memory limits the memory for bodies of requests and responses.
 	Memory *MemoryBudget
 	Logger *zap.Logger
@@ -144,6 +148,8 @@
 	// reserved is the choice for the next attempt, if one is made before the present one
 	// is given up.
 	reserved *placement.Choice
+	// verdict is the latest decision about the expected time to the first byte.
+	verdict overload.Verdict
 }
 
 // ServeHTTP implements http.Handler.
@@ -237,9 +243,16 @@
 			}
 			return c.endQuarantined(refused)
 		}
+		if c.outOfPatience() {
+			c.addReason("the request waited here until its caller leaves")
+			return &errOverloaded
+		}
 		choice := c.choose()
-		if choice == nil {
+		switch {
+		case choice == nil:
 			return c.endWithoutTarget()
+		case choice.Refused:
+			return c.endOverloaded(choice)
 		}
 		c.attempts++
 		c.targetID = choice.Target.ID
@@ -275,7 +288,8 @@
 	c.cleared, c.endKnown = false, false
 }
 
-// choose returns the choice of a target for the next attempt; nil if there is none.
+// choose returns the choice of a target for the next attempt; nil if there is none. The
+// choice is refused if the target is not expected to begin the request in time.
 func (c *call) choose() *placement.Choice {
 	if c.attempts > 0 {
 		c.renewCacheScope()
@@ -284,11 +298,16 @@
 		c.reserved = nil
 		return choice
 	}
-	choice, total := c.Placer.Choose(c.placementRequest)
+	request := c.placementRequest
+	c.boundChoice(&request)
+	choice, total := c.Placer.Choose(request)
 	if choice == nil {
 		c.addReason(fmt.Sprintf("no usable target among the %d of service %s", total, c.service))
 		return nil
 	}
+	if choice.Refused {
+		return choice
+	}
 	if c.attempts > 0 && !c.Budget.TakeRetry(c.service, time.Now(), c.state.FrontCount) {
 		c.Placer.Done(choice, placement.Unused)
 		c.addReason("retry budget spent")
--- a/internal/proxy/log.go
+++ b/internal/proxy/log.go
@@ -31,6 +31,9 @@
 	if code == errTargetsNotAdmitting.code {
 		fields = append(fields, zap.Stringers("passed_over", c.Placer.AdmissionFacts(c.service)))
 	}
+	if code == errOverloaded.code {
+		fields = append(fields, c.overloadFields()...)
+	}
 	if c.possibleRuns > 0 {
 		fields = append(fields, zap.String("key", c.key), zap.Strings("parts", c.sharedParts()))
 	}
--- a/internal/proxy/refusal.go
+++ b/internal/proxy/refusal.go
@@ -67,6 +67,7 @@
 	errNoTarget             = refusal{http.StatusServiceUnavailable, "no_target", targetRetryAfter}
 	errTargetsFull          = refusal{http.StatusServiceUnavailable, "targets_full", targetRetryAfter}
 	errTargetsNotAdmitting  = refusal{http.StatusServiceUnavailable, "targets_not_admitting", targetRetryAfter}
+	errOverloaded           = refusal{http.StatusServiceUnavailable, "overloaded", targetRetryAfter}
 	errNoMemory             = refusal{http.StatusServiceUnavailable, "no_memory", targetRetryAfter}
 	errStopping             = refusal{http.StatusServiceUnavailable, "stopping", stoppingRetryAfter}
 	errQuarantined          = refusal{http.StatusServiceUnavailable, "prompt_quarantined", 0}
