Try another target when one has been silent for long

A request that may be repeated waited at an engine that had swallowed it until its caller left, though other engines were free. The timer that moves stalled streams now runs from the start of an attempt: after four times the expected time to the first byte, and a third of the objective at least, the connection is closed and the request goes to another target, if one is expected to begin it in time, the budget has a retry, and the request may run on one more target.

TestSilentTargetIsReplacedWhileThereIsTime and TestRequestOfASilentTargetIsNotRefusedAsNotRun fail before.

--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -45,20 +45,23 @@
 	// resultCanceledSent means that the caller disconnected or the deadline
 	// passed after the request may have been sent.
 	resultCanceledSent
+	// resultSilent means that this VM ended the attempt, to try another target, because the
+	// target had not responded for far longer than expected.
+	resultSilent
 )
 
 func (r result) String() string {
-	return [...]string{"done", "not sent", "cancelled", "refused", "moved", "stale", "failed", "broken", "gone"}[r]
+	return [...]string{"done", "not sent", "cancelled", "refused", "moved", "stale", "failed", "broken", "gone", "silent"}[r]
 }
 
 func (r result) mayHaveRun() bool {
-	return r == resultFailed || r == resultBroken || r == resultCanceledSent
+	return r == resultFailed || r == resultBroken || r == resultCanceledSent || r == resultSilent
 }
 
 func (r result) placement() placement.Result {
 	return [...]placement.Result{
 		placement.Completed, placement.Unreachable, placement.Unused, placement.Rejected, placement.Misdirected, placement.Canceled,
-		placement.Failed, placement.Failed, placement.Abandoned,
+		placement.Failed, placement.Failed, placement.Abandoned, placement.Silent,
 	}[r]
 }
 
@@ -130,9 +133,14 @@
 	// reusableAfter is the response after which the connection can be reused;
 	// nil if it cannot be.
 	reusableAfter *http.Response
+	// stall ends the attempt if it makes no progress and another target can serve the
+	// request.
+	stall *stallTimer
 }
 
 func (s *exchange) roundTrip() result {
+	s.stall = s.newStallTimer(func() { _ = s.conn.Conn.Close() })
+	defer func() { s.reserved = s.stall.stop() }()
 	head := s.requestHead()
 	if err := s.write(head); err != nil {
 		s.reason = err.Error()
@@ -140,8 +148,7 @@
 	}
 	resp, meta, err := s.readResponse()
 	if err != nil {
-		s.reason = err.Error()
-		return resultBroken
+		return s.endBroken(err.Error())
 	}
 	s.Placer.RecordFirstByte(s.choice)
 	if !meta.Misdirected {
@@ -160,9 +167,25 @@
 	case s.route.Kind == gatewayconfig.RunStream && resp.StatusCode == http.StatusOK:
 		return s.forwardStream(resp, meta)
 	}
+	s.stall.stop()
 	return s.forwardBuffered(resp, meta)
 }
 
+// endBroken returns the result of an attempt whose connection broke, or was closed because the
+// attempt made no progress.
+func (s *exchange) endBroken(reason string) result {
+	switch {
+	case s.stall.stop() == nil:
+		s.reason = reason
+		return resultBroken
+	case s.firstEventAt.IsZero():
+		s.reason = "target was silent for " + s.stall.limit.String()
+		return resultSilent
+	}
+	s.reason = "stream made no progress for " + s.stall.limit.String()
+	return resultBroken
+}
+
 // errIncompleteWrite marks write errors after which the target cannot have
 // received the complete request.
 var errIncompleteWrite = errors.New("request was only partly written")
@@ -340,19 +363,16 @@
 	}
 	events := eventReader{src: bufio.NewReader(resp.Body)}
 	flusher := http.NewResponseController(s.w)
-	stall := s.newStallTimer(func() { _ = s.conn.Conn.Close() })
-	defer func() { s.reserved = stall.stop() }()
 	for {
 		e, err := events.next()
-		if err != nil && stall.stop() != nil {
-			s.reason = "stream made no progress for " + stall.limit.String()
-			return resultBroken
+		if err != nil && s.stall.stop() != nil {
+			return s.endBroken(err.Error())
 		}
 		if err != nil {
 			return s.endStream(resp, e, err)
 		}
 		if e.isProgress() {
-			s.recordEvent(e, stall)
+			s.recordEvent(e)
 		}
 		if e.id >= 0 && e.id <= s.lastEventID {
 			continue
@@ -383,7 +403,7 @@
 // recordEvent records when the first event of the attempt arrived, whether the stream can
 // still continue at another engine, and clears the request of crashing targets once its
 // answer has gone on for answerStartTime.
-func (s *exchange) recordEvent(e event, stall *stallTimer) {
+func (s *exchange) recordEvent(e event) {
 	switch {
 	case s.firstEventAt.IsZero():
 		s.firstEventAt = time.Now()
@@ -394,10 +414,10 @@
 		s.unnumberedEvents = true
 	}
 	if s.unnumberedEvents {
-		stall.stop()
+		s.stall.stop()
 		return
 	}
-	stall.recordProgress()
+	s.stall.recordProgress()
 }
 
 func (s *exchange) beginStream(resp *http.Response) {
