Refuse by the waits that requests have met as well

An estimate that lags behind, or does not know what requests wait for, refused nothing while all responses were late. The times to the first byte now count themselves: while all of them are late, a growing share is refused. They also keep second tries from making an overload worse: an engine that is as silent as the others were is not given up.

The state of a queue belongs to the service and the priority and not to the target: a front sends too little to each of many targets. Requests whose own time is not known, those of plain services, are refused only beyond the patience of their callers, because a long response of theirs shows no queue. Room under a limit does not end a queue at the other targets. Workspaces may give all their requests the same priority; the priority of the route then decides which are refused first.

--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -176,7 +176,7 @@
 	for _, reason := range []placement.PassReason{placement.PassDraining, placement.PassPaused, placement.PassLimited} {
 		f.counters.Gauge("targets_passed_over_"+reason.String(), func() any { return f.placer.PassedOver(reason) })
 	}
-	for _, reason := range []overload.Reason{overload.BeyondPatience, overload.StandingQueue, overload.Probe} {
+	for _, reason := range []overload.Reason{overload.BeyondPatience, overload.StandingQueue, overload.LateResponses, overload.Probe} {
 		f.counters.Gauge("overload_"+reason.String(), func() any { return f.overload.Count(reason) })
 	}
 	f.quarantine = newFrontQuarantine(f.pool.Probe, f.logger)
--- a/internal/overload/control.go
+++ b/internal/overload/control.go
@@ -26,16 +26,17 @@
 
 // Estimate is what is known of the target that would get the request.
 type Estimate struct {
-	Target string
 	// Expected is the expected time to the first byte, and Work the part of it that the
-	// request itself takes.
+	// request itself takes; 0 if that is not known.
 	Expected, Work time.Duration
+	// Limited is set if the target has named a limit, under which there is room.
+	Limited bool
 	// Certain is set if recent responses support the estimate.
 	Certain bool
 }
 
-// wait returns the part of the expected time that the request spends in queues.
-func (e Estimate) wait() time.Duration { return max(e.Expected-e.Work, 0) }
+// waitKnown reports whether the wait in queues can be told from the time for the request itself.
+func (e Estimate) waitKnown(r Request) bool { return e.Work > 0 && r.Objective > 0 }
 
 // Reason is why a request is refused.
 type Reason uint8
@@ -49,6 +50,8 @@
 	// StandingQueue means that the queue has been too long for some time, and must become
 	// shorter.
 	StandingQueue
+	// LateResponses means that all recent responses were late, whatever was expected.
+	LateResponses
 	// Probe means that the request would be refused, but is sent to check the estimate.
 	Probe
 	reasons
@@ -56,7 +59,7 @@
 
 // String returns the name of the reason in logs and metrics.
 func (r Reason) String() string {
-	return [...]string{"admitted", "beyond_patience", "standing_queue", "probe"}[r]
+	return [...]string{"admitted", "beyond_patience", "standing_queue", "late_responses", "probe"}[r]
 }
 
 // Verdict is the decision about a request.
@@ -70,7 +73,7 @@
 }
 
 // Refused reports whether the request must not be sent.
-func (v Verdict) Refused() bool { return v.Reason == BeyondPatience || v.Reason == StandingQueue }
+func (v Verdict) Refused() bool { return v.Reason != Admitted && v.Reason != Probe }
 
 // probeInterval is the time after which a request is sent although it should be refused, if
 // the service has got no other one. Without responses an estimate would stay as it is.
@@ -89,47 +92,68 @@
 
 // service is what a VM tracks of one service.
 type service struct {
-	queues queues
-	shares shares
+	priorities map[int]*priority
+	shares     shares
 	// lastAdmitted is when a request was sent last.
 	lastAdmitted time.Time
 }
 
+// priority is what the requests of one priority have found and met.
+type priority struct {
+	queue    queue
+	feedback feedback
+}
+
+func (s *service) priority(n int) *priority {
+	p := s.priorities[n]
+	if p == nil {
+		p = &priority{}
+		s.priorities[n] = p
+	}
+	return p
+}
+
 // New returns a Control without history.
 func New(clock func() time.Time, random func() float64) *Control {
 	return &Control{clock: clock, random: random, services: make(map[string]*service)}
 }
 
+func (c *Control) service(name string) *service {
+	s := c.services[name]
+	if s == nil {
+		s = &service{priorities: make(map[int]*priority), lastAdmitted: c.clock()}
+		c.services[name] = s
+	}
+	return s
+}
+
 // Bounds returns the expected time to the first byte, and the wait in queues, beyond which a
 // target is a bad choice for the request; 0 without a bound.
 func (c *Control) Bounds(r Request) (first, wait time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	s := c.service(r.Service)
 	first = max(r.Patience-r.Waited, 1)
-	if s := c.services[r.Service]; s != nil && s.queues.anyStanding(c.clock()) {
+	if s.priority(r.Priority).queue.standing {
 		wait = s.waitLimit(c.clock(), r)
 	}
 	return first, wait
 }
 
 // Decide decides about a request whose best target has the estimate e. It is asked once for
-// each request, because it counts what it decides.
+// each attempt, because it counts what it decides.
 func (c *Control) Decide(r Request, e Estimate) Verdict {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock()
-	s := c.services[r.Service]
-	if s == nil {
-		s = &service{queues: make(queues), lastAdmitted: now}
-		c.services[r.Service] = s
-	}
-	v := s.verdict(now, r, e)
+	s := c.service(r.Service)
+	v := s.verdict(now, r, e, c.random())
 	if v.Refused() && now.Sub(s.lastAdmitted) > probeInterval {
 		v.Reason = Probe
 	}
 	s.shares.record(now, r, !v.Refused())
 	if v.Refused() {
-		v.RetryAfter = c.retryAfter(now, s, r, e, v)
+		v.RetryAfter = c.retryAfter(now, s.priority(r.Priority), r, e, v)
 	} else {
 		s.lastAdmitted = now
 	}
@@ -137,20 +161,48 @@
 	return v
 }
 
-func (s *service) verdict(now time.Time, r Request, e Estimate) Verdict {
-	q := s.queues.observe(now, r, e)
+func (s *service) verdict(now time.Time, r Request, e Estimate, random float64) Verdict {
+	p := s.priority(r.Priority)
+	limit := s.waitLimit(now, r)
+	p.queue.observe(now, r, e, limit)
+	share := p.feedback.share(now, r)
+	if s.starves(r) {
+		share /= 2
+	}
+	if random < share && !e.Limited && e.waitKnown(r) {
+		return Verdict{Reason: LateResponses, Limit: r.Objective}
+	}
 	if !e.Certain {
 		return Verdict{}
 	}
-	if limit := r.Patience - r.Waited; e.Expected > limit {
-		return Verdict{Reason: BeyondPatience, Limit: limit}
+	if left := r.Patience - r.Waited; e.Expected > left {
+		return Verdict{Reason: BeyondPatience, Limit: left}
 	}
-	if limit := s.waitLimit(now, r); q.standing && limit > 0 && e.wait() > limit {
+	if p.queue.standing && e.waitKnown(r) && e.Expected-e.Work > limit {
 		return Verdict{Reason: StandingQueue, Limit: limit + e.Work}
 	}
 	return Verdict{}
 }
 
+// Observe records that a request that was sent had its first byte after the given time, or ended
+// then without one.
+func (c *Control) Observe(r Request, e Estimate, after time.Duration, answered bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.service(r.Service).priority(r.Priority).feedback.observe(c.clock(), r, e, after, answered)
+}
+
+// SilenceLimit returns how long a target may be silent before another one is tried, given the
+// expected time to its first byte and the time that is left until the caller leaves; 0 if no
+// other target could begin in time after that. Silence such as other requests have met recently
+// is no reason to try another target.
+func (c *Control) SilenceLimit(r Request, expected, left time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	longest := c.service(r.Service).priority(r.Priority).feedback.recentLongest(c.clock())
+	return silenceLimit(max(expected, longest/minSilentFactor), r.Objective, left)
+}
+
 // Count returns the number of decisions with a reason.
 func (c *Control) Count(reason Reason) uint64 {
 	c.mu.Lock()
@@ -171,8 +223,8 @@
 // retryAfter returns when a refused caller should return: when the queue has drained, if
 // nothing else arrives. An overload that has lasted for some time is expected to last as long
 // again. The times are spread, so that callers do not return together.
-func (c *Control) retryAfter(now time.Time, s *service, r Request, e Estimate, v Verdict) time.Duration {
-	wait := max(e.Expected-v.Limit, s.queues.age(now, r, e), minRetryAfter)
+func (c *Control) retryAfter(now time.Time, p *priority, r Request, e Estimate, v Verdict) time.Duration {
+	wait := max(e.Expected-v.Limit, p.queue.age(now), p.feedback.age(now), minRetryAfter)
 	honoured := time.Duration(honouredFraction * float64(r.TimeLeft))
 	spread := c.random()
 	if latest := time.Duration(float64(wait) * (1 + spread)); latest <= honoured {
--- a/internal/overload/control_test.go
+++ b/internal/overload/control_test.go
@@ -27,7 +27,7 @@
 
 // decide decides about a request that waits in a queue and takes 20 ms by itself.
 func (b *bed) decide(r Request, wait time.Duration) Verdict {
-	return b.Decide(r, Estimate{Target: "t", Expected: wait + 20*time.Millisecond, Work: 20 * time.Millisecond, Certain: true})
+	return b.Decide(r, Estimate{Expected: wait + 20*time.Millisecond, Work: 20 * time.Millisecond, Certain: true})
 }
 
 // overloaded returns a bed whose queue has been long for a while.
@@ -49,7 +49,7 @@
 	b := newBed()
 	for range 40 {
 		b.now = b.now.Add(testObjective / 5)
-		if v := b.Decide(testRequest(), Estimate{Target: "t", Expected: 3 * time.Second}); v.Reason != Admitted {
+		if v := b.Decide(testRequest(), Estimate{Expected: 3 * time.Second}); v.Reason != Admitted {
 			t.Fatalf("an uncertain estimate gives %+v", v)
 		}
 	}
--- a/internal/overload/queue.go
+++ b/internal/overload/queue.go
@@ -11,92 +11,52 @@
 	// queueFraction is the part of the objective that a request may spend in queues. The
 	// rest is left for the request itself and for errors of the estimate.
 	queueFraction = 0.5
-	// calmTime is how long a queue must have been short to count as no longer standing.
+	// calmTime is how long a queue must have been short to be no longer standing.
 	calmTime = 2 * time.Second
-	// queueExpiry is how long a queue without requests is tracked.
-	queueExpiry = 10 * time.Second
-	// maxQueues is the number of tracked queues from which expired ones are removed.
-	maxQueues = 1024
 )
 
-// queueKey names the queue that requests of one priority see at one target.
-type queueKey struct {
-	target   string
-	priority int
-}
-
-// queue is the state of one queue, as the requests for it have found it.
+// queue is the queue that the requests of one priority find at their best target.
 type queue struct {
-	// longSince is when the queue became long; zero while it is short.
-	longSince time.Time
-	// lastSeen and lastLong are when a request found the queue, and found it long.
-	lastSeen, lastLong time.Time
+	// longSince is when the queue became long; zero while it is short. lastLong is when a
+	// request last found it long.
+	longSince, lastLong time.Time
 	// standing is set once the queue has been long for the objective of its requests, and
-	// standingSince when it became so.
+	// standingSince when it became long.
 	standing      bool
 	standingSince time.Time
 }
 
-type queues map[queueKey]*queue
-
-// observe records how a request finds its queue.
-func (m queues) observe(now time.Time, r Request, e Estimate) *queue {
-	key := queueKey{e.Target, r.Priority}
-	q := m[key]
-	if q == nil {
-		if len(m) >= maxQueues {
-			m.expire(now)
-		}
-		q = &queue{}
-		m[key] = q
-	}
-	long := e.Certain && r.Objective > 0 && e.wait() > allowedWait(r)
-	switch {
-	case !long:
-		q.longSince = time.Time{}
-	case q.longSince.IsZero() || now.Sub(q.lastSeen) > calmTime:
-		q.longSince = now
-	}
-	q.lastSeen = now
-	if long {
-		q.lastLong = now
-	}
-	switch {
-	case q.standing && now.Sub(q.lastLong) > calmTime:
-		q.standing = false
-	case !q.standing && long && now.Sub(q.longSince) >= r.Objective:
-		q.standing, q.standingSince = true, q.longSince
-	}
-	return q
-}
-
 // allowedWait returns how long a request may wait in a queue to begin in time.
 func allowedWait(r Request) time.Duration {
 	return time.Duration(queueFraction * float64(r.Objective))
 }
 
-// anyStanding reports whether a queue of the service is standing.
-func (m queues) anyStanding(now time.Time) bool {
-	for _, q := range m {
-		if q.standing && now.Sub(q.lastLong) <= calmTime {
-			return true
+// observe records how a request that may wait up to limit finds the queue. A target that has room
+// under a limit of its own says nothing about the queues of the others.
+func (q *queue) observe(now time.Time, r Request, e Estimate, limit time.Duration) {
+	long := e.Certain && e.waitKnown(r) && e.Expected-e.Work > limit
+	switch {
+	case long:
+		if q.longSince.IsZero() || now.Sub(q.lastLong) > calmTime {
+			q.longSince = now
+		}
+		q.lastLong = now
+		if !q.standing && now.Sub(q.longSince) >= r.Objective {
+			q.standing, q.standingSince = true, q.longSince
 		}
+	case e.Limited:
+	default:
+		q.longSince = time.Time{}
 	}
-	return false
-}
-
-// age returns how long the queue of a request has been standing.
-func (m queues) age(now time.Time, r Request, e Estimate) time.Duration {
-	if q := m[queueKey{e.Target, r.Priority}]; q != nil && q.standing {
-		return now.Sub(q.standingSince)
+	if now.Sub(q.lastLong) > calmTime {
+		q.standing = false
 	}
-	return 0
 }
 
-func (m queues) expire(now time.Time) {
-	for key, q := range m {
-		if now.Sub(q.lastSeen) > queueExpiry {
-			delete(m, key)
-		}
+// age returns how long the queue has been standing.
+func (q *queue) age(now time.Time) time.Duration {
+	if !q.standing {
+		return 0
 	}
+	return now.Sub(q.standingSince)
 }
--- a/internal/overload/share.go
+++ b/internal/overload/share.go
@@ -18,6 +18,8 @@
 	// priorityStep is the ratio of the waits that two successive priorities may have. The
 	// difference is the room that is kept for the more urgent requests.
 	priorityStep = 0.8
+	// recentUse is how long after its latest request a more urgent priority counts.
+	recentUse = 2 * time.Second
 	// maxWorkspaces limits the workspaces that are tracked.
 	maxWorkspaces = 4096
 )
@@ -31,7 +33,7 @@
 }
 
 func (s *share) record(now time.Time, admitted bool) {
-	factor := math.Exp2(-float64(now.Sub(s.at)) / float64(shareHalfLife))
+	factor := halved(now.Sub(s.at), shareHalfLife)
 	s.offered, s.admitted, s.at = s.offered*factor+1, s.admitted*factor, now
 	if admitted {
 		s.admitted++
@@ -66,16 +68,24 @@
 	return g != nil && g.offered >= minOffered && g.admitted*s.all.offered < starvedRatio*s.all.admitted*g.offered
 }
 
+func (s *service) starves(r Request) bool {
+	return s.shares.starves(s.shares.workspaces[r.Workspace]) || s.shares.starves(s.shares.priorities[r.Priority])
+}
+
 // waitLimit returns the longest wait with which a request is admitted to a standing queue.
 func (s *service) waitLimit(now time.Time, r Request) time.Duration {
 	limit := allowedWait(r)
-	if s.shares.starves(s.shares.workspaces[r.Workspace]) || s.shares.starves(s.shares.priorities[r.Priority]) {
+	if s.starves(r) {
 		return r.Objective
 	}
 	for priority, g := range s.shares.priorities {
-		if priority < r.Priority && now.Sub(g.at) < calmTime {
+		if priority < r.Priority && now.Sub(g.at) < recentUse {
 			limit = min(limit, time.Duration(priorityStep*float64(g.wait)))
 		}
 	}
 	return limit
 }
+
+func halved(age, halfLife time.Duration) float64 {
+	return math.Exp2(-float64(age) / float64(halfLife))
+}
--- a/internal/overload/silence.go
+++ b/internal/overload/silence.go
@@ -14,10 +14,7 @@
 	silentPatience   = 0.5
 )
 
-// SilenceLimit returns how long a target may be silent before another one is tried, given the
-// expected time to its first byte, the objective of the request and the time that is left until
-// the caller leaves; 0 if no other target could begin in time after that.
-func SilenceLimit(expected, objective, left time.Duration) time.Duration {
+func silenceLimit(expected, objective, left time.Duration) time.Duration {
 	if objective <= 0 {
 		return 0
 	}
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -132,6 +132,8 @@
 	// may be refused because of it.
 	Expected time.Duration
 	Certain  bool
+	// Limited is set if the target has named a limit of requests a second.
+	Limited bool
 	// Refused is set if Request.Accept has rejected the choice. Done must not be called.
 	Refused bool
 
@@ -328,7 +330,7 @@
 // evaluate returns a Choice of m with the work that the request causes there.
 func (p *Placer) evaluate(m, home *member, holders []cacheHolder, req *Request, now time.Time) *Choice {
 	cached := m.cachedTokens(req)
-	c := &Choice{Target: m.Target, CachedTokens: cached, Home: m == home, member: m}
+	c := &Choice{Target: m.Target, CachedTokens: cached, Home: m == home, Limited: m.admission.limited, member: m}
 	fetchedTokens, fetchMS := p.planTransfers(c, holders, req, now)
 	all := totalTokens(req.Parts)
 	c.insertedTokens = float64(all - cached)
--- a/internal/proxy/overload.go
+++ b/internal/proxy/overload.go
@@ -23,10 +23,19 @@
 // run.
 func (c *call) refusable() bool { return c.possibleRuns == 0 && !c.headersSent }
 
+// routePriorities is the number of priorities of routes that are told apart.
+const routePriorities = 10
+
+// sheddingPriority returns the order in which requests are refused. Among those that targets
+// serve with the same priority, because their workspaces have it, the route decides.
+func (c *call) sheddingPriority() int {
+	return c.priority()*routePriorities + min(max(c.route.Priority, 0), routePriorities-1)
+}
+
 func (c *call) overloadRequest() overload.Request {
 	waited := time.Since(c.started)
 	r := overload.Request{
-		Service: c.service, Priority: c.priority(), Objective: c.route.Objective,
+		Service: c.service, Priority: c.sheddingPriority(), Objective: c.route.Objective,
 		Patience: c.firstEventBy().Sub(c.started), Waited: waited, TimeLeft: c.callerLimit() - waited,
 	}
 	if c.workspace != nil {
@@ -44,13 +53,30 @@
 	r := c.overloadRequest()
 	request.Bounds.First, request.Bounds.Wait = c.Overload.Bounds(r)
 	request.Accept = func(choice *placement.Choice) bool {
-		c.verdict = c.Overload.Decide(r, overload.Estimate{
-			Target: choice.Target.ID, Expected: choice.Expected, Work: choice.Work(), Certain: choice.Certain,
-		})
+		c.verdict = c.Overload.Decide(r, c.estimate(choice))
 		return !c.verdict.Refused()
 	}
 }
 
+// estimate returns what is known of a choice. How long the request itself takes is known only if
+// it has a prompt.
+func (c *call) estimate(choice *placement.Choice) overload.Estimate {
+	e := overload.Estimate{Expected: choice.Expected, Limited: choice.Limited, Certain: choice.Certain}
+	if len(c.placementRequest.Parts) > 0 {
+		e.Work = choice.Work()
+	}
+	return e
+}
+
+// observeWait records the time to the first byte of the attempt, or to its end without one.
+func (s *exchange) observeWait(answered bool) {
+	if s.Overload == nil || s.waitObserved {
+		return
+	}
+	s.waitObserved = true
+	s.Overload.Observe(s.overloadRequest(), s.estimate(s.choice), time.Since(s.began), answered)
+}
+
 // endOverloaded returns the refusal of a request that no target is expected to begin in time.
 func (c *call) endOverloaded(choice *placement.Choice) *refusal {
 	c.choice, c.targetID = choice, choice.Target.ID
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -103,7 +103,7 @@
 		c.reason = "the shutdown came before the request was sent"
 		return resultCanceledUnsent
 	}
-	s := &exchange{call: c, conn: conn, choice: choice, context: ctx}
+	s := &exchange{call: c, conn: conn, choice: choice, context: ctx, began: time.Now()}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Conn.Close() })
 	result := s.roundTrip()
 	// If it has begun, the close may take effect at any later time.
@@ -111,6 +111,9 @@
 	if closing && result != resultDelivered {
 		result = resultCanceledSent
 	}
+	if result == resultCanceledSent || result == resultSilent {
+		s.observeWait(false)
+	}
 	if closing || s.reusableAfter == nil || !s.bodyWritten() {
 		_ = conn.Conn.Close()
 		return result
@@ -136,6 +139,9 @@
 	// stall ends the attempt if it makes no progress and another target can serve the
 	// request.
 	stall *stallTimer
+	// began is when the attempt began, and waitObserved is set once its wait is recorded.
+	began        time.Time
+	waitObserved bool
 }
 
 func (s *exchange) roundTrip() result {
@@ -164,7 +170,9 @@
 		return s.discard(resp, resultMisdirected)
 	case meta.NotRun:
 		return s.discard(resp, resultRefused)
-	case s.route.Kind == gatewayconfig.RunStream && resp.StatusCode == http.StatusOK:
+	}
+	s.observeWait(true)
+	if s.route.Kind == gatewayconfig.RunStream && resp.StatusCode == http.StatusOK {
 		return s.forwardStream(resp, meta)
 	}
 	s.stall.stop()
--- a/internal/proxy/stall.go
+++ b/internal/proxy/stall.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/cuminwing/cuminwing/internal/overload"
 	"github.com/cuminwing/cuminwing/internal/placement"
 	"github.com/cuminwing/cuminwing/internal/quarantine"
 )
@@ -64,9 +63,12 @@
 }
 
 // silenceLimit returns how long the target may be silent before another one is tried; 0 if
-// none can begin in time after that.
+// none is.
 func (s *exchange) silenceLimit() time.Duration {
-	return overload.SilenceLimit(s.choice.Expected, s.route.Objective, time.Until(s.firstEventBy()))
+	if s.Overload == nil {
+		return 0
+	}
+	return s.Overload.SilenceLimit(s.overloadRequest(), s.choice.Expected, time.Until(s.firstEventBy()))
 }
 
 // expire ends the attempt if another target can serve the request. Otherwise it starts the
