Tell what was believed of a target that sent no first byte

A request whose caller leaves without a first byte left no trace of what the front had expected, so that a wrong estimate could not be told from a silent engine. The line of the request now has the presumed cause, how long the attempt waited, and what was believed of the target when it was chosen and when the attempt ended. Counters have every such attempt by cause, and the responses by expected and actual time to the first byte. Lines stay bounded by the sampling of failed requests.

--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -169,6 +169,8 @@
 		Count: func(name string) { f.counters.Add("caller_"+name, 1) },
 	}
 	f.placer.OnNotice = f.logNotice
+	f.placer.OnFirstByte, f.placer.OnUnanswered = f.recordFirstByte, f.recordUnanswered
+	f.placer.Stopping = f.stop.stopping
 	for _, reason := range []placement.PassReason{placement.PassDraining, placement.PassPaused, placement.PassLimited} {
 		f.counters.Gauge("targets_passed_over_"+reason.String(), func() any { return f.placer.PassedOver(reason) })
 	}
@@ -215,6 +217,18 @@
 	f.counters.Add("request_time_"+name+"_"+latencyBucket(took), 1)
 }
 
+// recordFirstByte counts a response by the expected and the actual time to its first byte.
+func (f *Front) recordFirstByte(expected, actual time.Duration) {
+	f.counters.Add("first_byte_expected_"+latencyBucket(expected)+"_actual_"+latencyBucket(actual), 1)
+}
+
+// recordUnanswered counts an attempt that ended without a first byte by the expected time
+// to it, and by cause.
+func (f *Front) recordUnanswered(expected time.Duration, cause placement.Cause) {
+	f.counters.Add("first_byte_expected_"+latencyBucket(expected)+"_actual_none", 1)
+	f.counters.Add("unanswered_"+cause.String(), 1)
+}
+
 // stateExpected reports whether the core is expected to respond soon, so that a
 // request should wait for a usable state.
 func (f *Front) stateExpected() bool {
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -12,6 +12,11 @@
 	c.firstByteSeen = true
 	m := c.member
 	now := p.Clock()
+	m.endWait(c)
+	m.recordAnswer(c)
+	if p.OnFirstByte != nil {
+		p.OnFirstByte(c.Expected, now.Sub(c.sentAt))
+	}
 	observedWait := max(0, float64(now.Sub(c.sentAt)-c.Expected)/float64(time.Millisecond)+c.includedWaitMS)
 	// The mean of the decayed wait and the new one follows a change quickly and
 	// still smooths single slow responses.
@@ -63,6 +68,13 @@
 	if !c.firstByteSeen && result != Completed {
 		m.addBacklog(now, -c.workMS)
 	}
+	if !c.firstByteSeen && (result == Abandoned || result == Silent) {
+		c.Unanswered = p.unanswered(c, now)
+		if p.OnUnanswered != nil {
+			p.OnUnanswered(c.Expected, c.Unanswered.Cause)
+		}
+	}
+	m.endWait(c)
 	c.firstByteSeen = true
 	switch result {
 	case Completed:
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -127,6 +127,10 @@
 	// may be refused because of it.
 	Expected time.Duration
 	Certain  bool
+	// Belief is what was believed of the target.
+	Belief Belief
+	// Unanswered is set by Done if the request was sent and ended without a first byte.
+	Unanswered *Unanswered
 
 	member *member
 	// workMS is the time that the engine needs to fetch and prefill the prompt.
@@ -148,8 +152,12 @@
 	// registryWeights is the weight version in the registry. Target.Weights may
 	// be a version that the engine itself has reported since.
 	registryWeights uint64
-	// inflight counts the requests of this VM in flight.
+	// inflight counts the requests of this VM in flight, and waiting lists those without a
+	// first byte, oldest first.
 	inflight int
+	waiting  []*Choice
+	// answeredUpTo is when the latest request that was answered had been sent.
+	answeredUpTo time.Time
 	// backlogMS is the prefill work, from all VMs, that was left at backlogAt.
 	backlogMS float64
 	backlogAt time.Time
@@ -189,6 +197,13 @@
 	// OnNotice is called when what this VM knows of the requests that a target accepts
 	// changes. It must not block or call the Placer. It may be nil.
 	OnNotice func(NoticeChange)
+	// OnFirstByte is called with the expected and the actual time to a first byte, and
+	// OnUnanswered with the cause if an attempt ends without one. They must not block or
+	// call the Placer. They may be nil.
+	OnFirstByte  func(expected, actual time.Duration)
+	OnUnanswered func(expected time.Duration, cause Cause)
+	// Stopping reports whether this VM stops. It may be nil.
+	Stopping func() bool
 	// random returns a random number from 0 to 1.
 	random func() float64
 
@@ -452,8 +467,10 @@
 	c.sentAt = now
 	m := c.member
 	m.admission.take(now, p.fleet())
+	c.Belief = m.belief(now)
 	c.includedWaitMS = m.currentWait(now)
 	m.inflight++
+	m.waiting = append(m.waiting, c)
 	m.addBacklog(now, c.workMS)
 	m.insertTokens(now, c.insertedTokens)
 	p.uses.record(now, partHashes(req.sharedParts()))
--- a/internal/proxy/log.go
+++ b/internal/proxy/log.go
@@ -4,8 +4,10 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/cuminwing/cuminwing/internal/gatewayconfig"
+	"github.com/cuminwing/cuminwing/internal/placement"
 )
 
 // outcomeOK is the outcome of a request that was answered with the response of a target.
@@ -86,10 +88,37 @@
 	return fields
 }
 
+// unansweredFields returns the log fields of an attempt that ended without a first byte:
+// how long it waited, and what the target was believed to be when it was chosen and when
+// the attempt ended.
+func unansweredFields(choice *placement.Choice) []zap.Field {
+	u := choice.Unanswered
+	return []zap.Field{
+		zap.Stringer("unanswered", u.Cause), zap.Duration("waited", u.Waited), zap.Duration("expected_wait", choice.Expected),
+		zap.Bool("certain", choice.Certain), zap.Object("believed", beliefFields(choice.Belief)), zap.Object("believed_at_end", beliefFields(u.Belief)),
+	}
+}
+
+// beliefFields writes a placement.Belief to the log.
+type beliefFields placement.Belief
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (b beliefFields) MarshalLogObject(e zapcore.ObjectEncoder) error {
+	e.AddDuration("wait", b.Wait)
+	e.AddFloat64("failure_rate", b.FailureRate)
+	e.AddFloat64("slowdown", b.Slowdown)
+	e.AddInt("unanswered", b.Unanswered)
+	e.AddDuration("oldest", b.Oldest)
+	return nil
+}
+
 // placementFields returns the log fields of placement: the last target that was
 // chosen, and what placement assumed about it.
 func (c *call) placementFields() []zap.Field {
 	fields := []zap.Field{zap.String("target", c.targetID), zap.Int("sends", c.attempts), zap.Int("runs", c.possibleRuns)}
+	if c.choice != nil && c.choice.Unanswered != nil {
+		fields = append(fields, unansweredFields(c.choice)...)
+	}
 	if c.choice == nil || c.request.PromptTokens == 0 {
 		return fields
 	}
