Add the package targetstate: what all ends of requests say about a target

One model of the state of a target, without I/O, for all programs that choose targets. It learns from answers, failures and refusals, from requests that are still unanswered (a lower bound of the wait), from those whose callers have left, and from what other processes report: the backlog by priority, how many times slower than nominal a target is, requests that it has swallowed. Nothing uses it yet.

--- /dev/null
+++ b/internal/targetstate/group.go
@@ -0,0 +1,234 @@
+package targetstate
+
+import "time"
+
+const (
+	// overdueFactor and overdueMarginMS tell when a request without a first byte is overdue:
+	// sound targets answer nearly all requests within that many times the expected time and
+	// the margin. The margin is smaller for a request that was overtaken.
+	overdueFactor            = 2.0
+	overdueMarginMS          = 300.0
+	overtakenOverdueMarginMS = 150.0
+	// reviewInterval is the shortest time between two reviews of a group.
+	reviewInterval = 10 * time.Millisecond
+	// classHalfLife is the half-life of what is known of a class of requests.
+	classHalfLife = 5 * time.Second
+	// maxClasses limits the classes that are told apart.
+	maxClasses = 1024
+	// calibrationHalfLife is the half-life of the agreement of expectations with responses.
+	// An expectation is certain if at least minAgreement of the time expected recently
+	// has passed, over at least minAgreements responses.
+	calibrationHalfLife = 1500 * time.Millisecond
+	minAgreement        = 0.7
+	minAgreements       = 3.0
+	// agreeingFraction is the fraction of the expected time from which a response agrees.
+	agreeingFraction = 0.5
+)
+
+// Group is the targets of one service. They are compared with each other: what is wrong
+// with all of them is not the fault of one.
+type Group struct {
+	// Processes is the number of processes that use the targets, and Random returns a
+	// random number from 0 to 1. Both spread the trials of ejected targets.
+	Processes int
+	Random    func() float64
+
+	targets     []*Target
+	speed       speed
+	rawSlowdown float64
+	reviewed    time.Time
+	classes     map[string]*class
+	calibration calibration
+	events      []Event
+}
+
+// class counts the requests of a class that were answered and that were not.
+type class struct{ answered, silent decaying }
+
+// NewGroup returns a group without targets.
+func NewGroup(random func() float64) *Group {
+	return &Group{Random: random, rawSlowdown: 1, classes: make(map[string]*class)}
+}
+
+// Slowdown returns how many times longer than nominal the targets take, as of the latest
+// review; 1 for small differences.
+func (g *Group) Slowdown() float64 { return withoutTolerance(g.rawSlowdown) }
+
+// SetTargets replaces the list of targets.
+func (g *Group) SetTargets(targets []*Target) { g.targets = targets }
+
+// Review updates what depends on the time alone: the slowdown of the group and the
+// suspicion of swallowed requests. Its cost is linear in the number of targets.
+func (g *Group) Review(now time.Time) {
+	if now.Sub(g.reviewed) >= reviewInterval {
+		g.review(now)
+	}
+}
+
+func (g *Group) review(now time.Time) {
+	g.reviewed = now
+	g.rawSlowdown = max(1, g.speed.factor(now, 1, groupPriorMS))
+	silent, latestDue := 0, time.Time{}
+	for _, t := range g.targets {
+		if due, found := t.silentSince(now); found {
+			silent++
+			if due.After(latestDue) {
+				latestDue = due
+			}
+		}
+	}
+	if silent == 0 || !g.othersAnswer(now, silent, latestDue) {
+		return
+	}
+	for _, t := range g.targets {
+		t.suspect(now)
+	}
+}
+
+// othersAnswer reports whether targets that answer show that the silent ones are at fault,
+// rather than the link or this process: at least half as many have answered since the
+// silent ones should have.
+func (g *Group) othersAnswer(now time.Time, silent int, due time.Time) bool {
+	answering := 0
+	for _, t := range g.targets {
+		if !t.answeredAt.After(due) {
+			continue
+		}
+		if _, found := t.silentSince(now); !found {
+			answering++
+		}
+	}
+	return answering > 0 && 2*answering >= silent
+}
+
+// silentSince reports whether the target may have swallowed a request, and when the oldest
+// such request should have been answered.
+func (t *Target) silentSince(now time.Time) (time.Time, bool) {
+	for _, a := range t.waiting {
+		if a.swallowed(now) {
+			return a.due(now), true
+		}
+	}
+	return time.Time{}, false
+}
+
+// suspect marks the requests that the target may have swallowed.
+func (t *Target) suspect(now time.Time) {
+	suspected := false
+	for _, a := range t.waiting {
+		if !a.suspected && a.swallowed(now) && t.group.answers(now, a.work.Class) {
+			a.suspected = true
+		}
+		suspected = suspected || a.suspected
+	}
+	if suspected && now.Sub(t.suspicionReported) >= reportInterval {
+		t.suspicionReported = now
+		t.group.report(Event{Target: t, Kind: Suspected})
+	}
+}
+
+// dueMS returns the time within which the request should have been answered, by what is
+// known now: the target may have become slower, and more urgent work may have come.
+func (a *Attempt) dueMS(now time.Time) float64 {
+	if !a.work.Known {
+		return a.expectation.MS
+	}
+	return max(a.expectation.MS, a.target.Slowdown(now)*(a.expectation.NominalMS+a.target.backlog.sentSince(a)))
+}
+
+func (a *Attempt) due(now time.Time) time.Time {
+	return a.sentAt.Add(time.Duration(a.dueMS(now) * float64(time.Millisecond)))
+}
+
+func (a *Attempt) overdue(now time.Time) bool {
+	margin := overdueMarginMS
+	if a.overtaken {
+		margin = overtakenOverdueMarginMS
+	}
+	age := a.ageMS(now)
+	return age > margin && age > overdueFactor*a.dueMS(now)+margin
+}
+
+// swallowed reports whether the target may have swallowed the request: it is overdue, and
+// the target has answered later ones or nothing since. A target that answers more urgent
+// requests may still have this one in its queue.
+func (a *Attempt) swallowed(now time.Time) bool {
+	return a.overdue(now) && (a.overtaken || !a.target.answeredAt.After(a.due(now)))
+}
+
+// mayEject reports whether one more target may be ejected: under half of all.
+func (g *Group) mayEject(now time.Time, t *Target) bool {
+	ejected := 0
+	for _, other := range g.targets {
+		if other != t && other.Ejected(now) {
+			ejected++
+		}
+	}
+	return 2*(ejected+1) < len(g.targets)
+}
+
+func (g *Group) trialDelay() time.Duration {
+	spread := min(time.Duration(g.Processes)*trialDelayPerProcess, maxTrialDelay)
+	return time.Duration(g.Random() * float64(spread))
+}
+
+// recordAnswer records what a first byte says about its class and about expectations.
+func (g *Group) recordAnswer(now time.Time, a *Attempt) {
+	if c := g.class(a.work.Class); c != nil {
+		c.answered.add(now, classHalfLife, 1)
+	}
+	g.calibration.add(now, a.expectation.MS, a.ageMS(now) >= agreeingFraction*a.expectation.MS)
+}
+
+func (g *Group) recordSilence(now time.Time, a *Attempt) {
+	if c := g.class(a.work.Class); c != nil {
+		c.silent.add(now, classHalfLife, 1)
+	}
+}
+
+// class returns the class of a name; nil if there are too many.
+func (g *Group) class(name string) *class {
+	c := g.classes[name]
+	if c == nil && len(g.classes) < maxClasses {
+		c = &class{}
+		g.classes[name] = c
+	}
+	return c
+}
+
+// answers reports whether targets answer requests of a class. Silence on a request of
+// another class is a property of the request.
+func (g *Group) answers(now time.Time, name string) bool {
+	c := g.classes[name]
+	if c == nil {
+		return false
+	}
+	answered := c.answered.at(now, classHalfLife)
+	return answered >= minClassAnswers && answered >= c.silent.at(now, classHalfLife)
+}
+
+// minClassAnswers is the decayed number of answers from which targets are known to answer
+// requests of a class.
+const minClassAnswers = 0.5
+
+// Certain reports whether recent responses agree with expectations as long as e.
+func (g *Group) Certain(now time.Time, e Expectation) bool { return g.calibration.supports(now, e.MS) }
+
+// calibration compares expectations with responses. Each counts with the time expected, so
+// that short waits say little about long ones.
+type calibration struct{ agreeingMS, contradictingMS, agreements decaying }
+
+func (c *calibration) add(now time.Time, expectedMS float64, agrees bool) {
+	if !agrees {
+		c.contradictingMS.add(now, calibrationHalfLife, expectedMS)
+		return
+	}
+	c.agreeingMS.add(now, calibrationHalfLife, expectedMS)
+	c.agreements.add(now, calibrationHalfLife, 1)
+}
+
+func (c *calibration) supports(now time.Time, expectedMS float64) bool {
+	agreeing := c.agreeingMS.at(now, calibrationHalfLife)
+	all := agreeing + c.contradictingMS.at(now, calibrationHalfLife)
+	return agreeing >= expectedMS && agreeing >= minAgreement*all && c.agreements.at(now, calibrationHalfLife) >= minAgreements
+}
