Place requests by a state of the engines that unanswered requests change

Callers left engines that swallow requests without a trace: their backlog was given back, so a silent engine looked idle and drew more. Fronts now keep the state of a target in targetstate, and tell each other of swallowed requests and slowdowns (one hint per target and 400 ms). Hints about requests carry the priority in one more byte. Request.Class names the route, so that requests which no target answers blame none. Choice.Expected no longer has the penalty for old weights.

Two tests left requests unanswered for ever, which now says that an engine is slow: the limit test completes the request whose response names the limit, and the test of a hot subject completes each request at its expected time. Their bounds are as they were. TestNoticesReachTheOtherVMs reads the backlog from the new state.

--- a/internal/placement/admission_test.go
+++ b/internal/placement/admission_test.go
@@ -109,6 +109,7 @@
 					for _, p := range f.vms {
 						c, _ := p.Choose(Request{Service: "s"})
 						p.RecordNotice(c, Notice{Limit: limit, HasLimit: true})
+						completeRequest(p, c)
 					}
 					started := f.now
 					f.run(12*time.Second, limit, demand)
@@ -255,7 +256,7 @@
 			peer, peerChoice := admissionPlacer(&now)
 			p.TakeHints()
 			p.RecordNotice(choice, c.notice)
-			backlog := peerChoice.member.backlogMS
+			backlog := peerChoice.member.state.Backlog(now, 0)
 			for _, packet := range p.TakeHints() {
 				peer.ApplyHints(packet)
 			}
@@ -263,7 +264,7 @@
 			if reason, _ := peer.AdmittedAfter("s"); reason != c.want {
 				t.Errorf("the target is %v at the other VM, want %v", reason, c.want)
 			}
-			if peerChoice.member.backlogMS != backlog {
+			if peerChoice.member.state.Backlog(now, 0) != backlog {
 				t.Error("the notice counts as work of the target")
 			}
 		})
--- a/internal/placement/hints.go
+++ b/internal/placement/hints.go
@@ -16,9 +16,11 @@
 const (
 	// entryHeaderBytes is the size of the fixed part of an entry: the 32-bit
 	// hash of the engine and its weights, the prefill work in milliseconds (16
-	// bits), the inserted tokens in units of blockTokens (16 bits) and the
-	// number of parts (8 bits). The 32-bit hashes of the parts follow.
-	entryHeaderBytes = 9
+	// bits), the inserted tokens in units of blockTokens (16 bits), the
+	// priority (8 bits) and the number of parts (8 bits). The 32-bit hashes of the
+	// parts follow.
+	entryHeaderBytes = 10
+	priorityOffset   = 8
 	blockTokens      = 16
 	// savedFlag is set in the number of parts if the engine saves the parts to
 	// the store of its region.
@@ -29,10 +31,13 @@
 	// noticeWork replaces the prefill work in an entry about the requests that a
 	// target accepts. The kind of the notice replaces the inserted tokens, and the
 	// limit as a 32-bit floating-point number the parts.
-	noticeWork    = math.MaxUint16 - 1
-	hintDraining  = 1
-	hintLimit     = 2
-	hintNoLimit   = 3
+	noticeWork   = math.MaxUint16 - 1
+	hintDraining = 1
+	hintLimit    = 2
+	hintNoLimit  = 3
+	// stateWork replaces the prefill work in an entry about the state of a target. The
+	// kind of the event replaces the inserted tokens, and its value the parts.
+	stateWork     = math.MaxUint16 - 2
 	partHashBytes = 4
 	// maxPacketBytes keeps a packet within one unfragmented datagram on any
 	// path.
@@ -56,29 +61,27 @@
 
 // queueChoiceHint queues a hint about a placed request for the other fronts.
 func (p *Placer) queueChoiceHint(c *Choice, shared []Part) {
-	work := uint16(min(max(c.workMS, 0), noticeWork-1))
+	work := uint16(min(max(c.workMS, 0), stateWork-1))
 	blocks := uint16(min(max(c.insertedTokens/blockTokens, 0), math.MaxUint16))
-	p.enqueueHint(c.member, work, blocks, shared, c.SaveTo != "")
+	p.enqueueEntry(engineHash(c.Target.ID, c.member.Weights), work, blocks, c.priority, shared, c.SaveTo != "")
 }
 
 // queueUnreachableHint tells the other fronts that an engine could not be
 // reached. Each front finds out by itself when the engine is reachable again.
-func (p *Placer) queueUnreachableHint(m *member) { p.enqueueHint(m, unreachableWork, 0, nil, false) }
+func (p *Placer) queueUnreachableHint(m *member) {
+	p.enqueueEntry(engineHash(m.ID, m.Weights), unreachableWork, 0, 0, nil, false)
+}
 
 // queueNoticeHint passes a notice of a target on to the other fronts.
 func (p *Placer) queueNoticeHint(m *member, kind uint16, limit float64) {
 	value := Part{ID: uint64(math.Float32bits(float32(limit)))}
-	p.enqueueEntry(noticeHash(m.ID), noticeWork, kind, []Part{value}, false)
+	p.enqueueEntry(noticeHash(m.ID), noticeWork, kind, 0, []Part{value}, false)
 }
 
 // noticeHash identifies a target in notices, whatever weights it runs.
 func noticeHash(id string) uint32 { return engineHash(id, math.MaxUint64) }
 
-func (p *Placer) enqueueHint(m *member, work, blocks uint16, shared []Part, saved bool) {
-	p.enqueueEntry(engineHash(m.ID, m.Weights), work, blocks, shared, saved)
-}
-
-func (p *Placer) enqueueEntry(hash uint32, work, blocks uint16, shared []Part, saved bool) {
+func (p *Placer) enqueueEntry(hash uint32, work, blocks uint16, priority int, shared []Part, saved bool) {
 	n := entryHeaderBytes + partHashBytes*len(shared)
 	if len(shared) >= savedFlag || n > maxPacketBytes {
 		return
@@ -94,6 +97,7 @@
 	b := binary.LittleEndian.AppendUint32(p.outbox[last], hash)
 	b = binary.LittleEndian.AppendUint16(b, work)
 	b = binary.LittleEndian.AppendUint16(b, blocks)
+	b = append(b, byte(min(max(priority, 0), math.MaxUint8)))
 	count := byte(len(shared))
 	if saved {
 		count |= savedFlag
@@ -151,8 +155,13 @@
 		p.applyNotice(m, now, entry)
 		return
 	}
+	if work == stateWork {
+		p.applyStateHint(m, now, entry)
+		return
+	}
 	m.admission.recordOther(now)
-	m.addBacklog(now, float64(work))
+	m.state.RecordPeerRequest(now)
+	m.addBacklog(now, int(entry[priorityOffset]), float64(work))
 	prefilled := blockTokens * float64(binary.LittleEndian.Uint16(entry[6:]))
 	parts := decodeParts(entry[entryHeaderBytes:])
 	m.insertTokens(now, prefilled)
@@ -222,6 +231,7 @@
 		for _, m := range s.members {
 			p.enginesByHash[engineHash(m.ID, m.Weights)] = m
 			p.enginesByHash[noticeHash(m.ID)] = m
+			p.enginesByHash[stateHash(&m.Target)] = m
 		}
 	}
 }
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -16,6 +16,9 @@
 	if shared <= 0 {
 		return nil
 	}
+	for _, m := range s.members {
+		m.ejected = m.state.Ejected(now)
+	}
 	members := s.members
 	if !p.uses.survive(s, req.sharedParts(), now) {
 		members = p.storeBacked(s, req)
@@ -53,7 +56,9 @@
 // canBeHome reports whether the member is a candidate for the home of a
 // request. Engines with older weights are not, because their cache is lost with
 // the coming weight update.
-func (m *member) canBeHome(r *Request) bool { return !m.Excluded && !m.down && m.Weights >= r.Weights }
+func (m *member) canBeHome(r *Request) bool {
+	return !m.Excluded && !m.down && m.Weights >= r.Weights
+}
 
 // The homes of prompts with the same first part are 1/groupDivisor of the
 // service's engines, but at least minGroupSize.
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -1,6 +1,8 @@
 package placement
 
-import "time"
+import (
+	"github.com/cuminwing/cuminwing/internal/targetstate"
+)
 
 // RecordFirstByte records the time to the first byte of a response.
 func (p *Placer) RecordFirstByte(c *Choice) {
@@ -12,16 +14,11 @@
 	c.firstByteSeen = true
 	m := c.member
 	now := p.Clock()
-	m.endWait(c)
-	m.recordAnswer(c)
+	m.state.Answered(now, c.attempt)
+	p.queueStateHints(p.services[c.service])
 	if p.OnFirstByte != nil {
 		p.OnFirstByte(c.Expected, now.Sub(c.sentAt))
 	}
-	observedWait := max(0, float64(now.Sub(c.sentAt)-c.Expected)/float64(time.Millisecond)+c.includedWaitMS)
-	// The mean of the decayed wait and the new one follows a change quickly and
-	// still smooths single slow responses.
-	m.waitMS = (m.currentWait(now) + observedWait) / 2
-	m.waitAt = now
 	m.down = false
 }
 
@@ -54,9 +51,12 @@
 	Silent
 )
 
-// rejectedWaitMS is the least wait assumed at a target that has just rejected a
-// request.
-const rejectedWaitMS = 400.0
+// outcomes are the results as a target's state distinguishes them.
+var outcomes = [...]targetstate.Outcome{
+	Completed: targetstate.Completed, Failed: targetstate.Failed, Unreachable: targetstate.Failed, Rejected: targetstate.Rejected,
+	Misdirected: targetstate.Unused, Canceled: targetstate.Unused, Unused: targetstate.Unused,
+	Abandoned: targetstate.Abandoned, Silent: targetstate.Abandoned,
+}
 
 // Done records the end of a request.
 func (p *Placer) Done(c *Choice, result Result) {
@@ -66,28 +66,25 @@
 	m.inflight--
 	now := p.Clock()
 	if !c.firstByteSeen && result != Completed {
-		m.addBacklog(now, -c.workMS)
+		m.addBacklog(now, c.priority, -c.workMS)
 	}
 	if !c.firstByteSeen && (result == Abandoned || result == Silent) {
+		if s := p.services[c.service]; s != nil {
+			s.group.Review(now)
+		}
 		c.Unanswered = p.unanswered(c, now)
 		if p.OnUnanswered != nil {
 			p.OnUnanswered(c.Expected, c.Unanswered.Cause)
 		}
 	}
-	m.endWait(c)
 	c.firstByteSeen = true
+	m.state.End(now, c.attempt, outcomes[result])
+	p.queueStateHints(p.services[c.service])
 	switch result {
-	case Completed:
-		m.recordOutcome(now, 0)
-	case Failed:
-		m.recordOutcome(now, 1)
-	case Rejected:
-		m.waitMS, m.waitAt = max(m.currentWait(now), rejectedWaitMS), now
 	case Misdirected:
 		// Exclude the target until the next registry update.
 		m.Excluded, m.Terminating = true, true
 	case Unreachable:
-		m.recordOutcome(now, 1)
 		m.down = true
 		p.queueUnreachableHint(m)
 	}
@@ -121,14 +118,6 @@
 	}
 }
 
-// failureSmoothing is the weight of one request in the failure rate.
-const failureSmoothing = 0.2
-
-func (m *member) recordOutcome(now time.Time, failed float64) {
-	m.failureRate = m.currentFailureRate(now)*(1-failureSmoothing) + failed*failureSmoothing
-	m.failureRateAt = now
-}
-
 // Targets returns the targets of all services.
 func (p *Placer) Targets() []Target {
 	p.mu.Lock()
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/cuminwing/cuminwing/internal/targetstate"
 )
 
 const (
@@ -20,10 +22,6 @@
 	// defaultCacheTokens is the memory, in tokens, assumed for engines whose
 	// memory is not known.
 	defaultCacheTokens = 80_000
-	// waitHalfLife is the half-life of an observed wait at a target.
-	waitHalfLife = 700 * time.Millisecond
-	// failureHalfLife is the half-life of a target's failure rate.
-	failureHalfLife = 4 * time.Second
 	// prefillTokensPerMS is the number of prompt tokens that an engine prefills
 	// per millisecond. Prefill proceeds in steps of prefillChunkTokens. Each
 	// step adds prefillStepMS, and each pair of a token and an earlier token
@@ -98,6 +96,8 @@
 	Weights uint64
 	// Priority is the priority with which the target runs the request; 0 is the highest.
 	Priority int
+	// Class names requests that targets answer alike, for example the route.
+	Class string
 	// Exclude lists the IDs of targets that have failed this request.
 	Exclude []string
 }
@@ -132,15 +132,16 @@
 	// Unanswered is set by Done if the request was sent and ended without a first byte.
 	Unanswered *Unanswered
 
-	member *member
+	member  *member
+	attempt *targetstate.Attempt
 	// workMS is the time that the engine needs to fetch and prefill the prompt.
 	workMS float64
 	// insertedTokens is the number of tokens that the request adds to the
 	// engine's memory.
 	insertedTokens float64
-	// includedWaitMS is the wait observed at earlier requests, which Expected
-	// includes.
-	includedWaitMS float64
+	expectation    targetstate.Expectation
+	service        string
+	priority       int
 	sentAt         time.Time
 	firstByteSeen  bool
 }
@@ -152,22 +153,11 @@
 	// registryWeights is the weight version in the registry. Target.Weights may
 	// be a version that the engine itself has reported since.
 	registryWeights uint64
-	// inflight counts the requests of this VM in flight, and waiting lists those without a
-	// first byte, oldest first.
+	// inflight counts the requests of this VM in flight.
 	inflight int
-	waiting  []*Choice
-	// answeredUpTo is when the latest request that was answered had been sent.
-	answeredUpTo time.Time
-	// backlogMS is the prefill work, from all VMs, that was left at backlogAt.
-	backlogMS float64
-	backlogAt time.Time
-	// waitMS is the observed wait beyond the expected time, as of waitAt.
-	waitMS float64
-	waitAt time.Time
-	// failureRate is the decayed fraction of failed requests, as of
-	// failureRateAt.
-	failureRate   float64
-	failureRateAt time.Time
+	state    *targetstate.Target
+	// ejected is set while the state says so, as of the latest choice of a home.
+	ejected bool
 	// down is set after a failed connection. A target that is down gets
 	// requests only if no other one is left.
 	down bool
@@ -185,6 +175,7 @@
 
 type service struct {
 	members []*member
+	group   *targetstate.Group
 	sizes   requestSizes
 }
 
@@ -240,13 +231,17 @@
 				known[m.ID] = m
 			}
 		}
-		s := &service{}
+		s := &service{group: targetstate.NewGroup(p.random)}
 		if old := p.services[name]; old != nil {
-			s.sizes = old.sizes
+			s.sizes, s.group = old.sizes, old.group
 		}
-		for _, t := range list {
-			s.members = append(s.members, mergeMember(known[t.ID], t))
+		states := make([]*targetstate.Target, len(list))
+		for i, t := range list {
+			m := mergeMember(known[t.ID], t, s.group)
+			s.members = append(s.members, m)
+			states[i] = m.state
 		}
+		s.group.SetTargets(states)
 		next[name] = s
 	}
 	p.services = next
@@ -255,9 +250,12 @@
 
 // mergeMember applies a registry entry to the known member. The state is kept
 // if the incarnation is the same; new weights invalidate the cache.
-func mergeMember(m *member, t Target) *member {
+func mergeMember(m *member, t Target, g *targetstate.Group) *member {
 	if m == nil || m.Address != t.Address || m.Started != t.Started {
-		return &member{Target: t, registryWeights: t.Weights, hash: xxhash.Sum64String(t.ID), parts: make(map[uint32]float64)}
+		return &member{
+			Target: t, registryWeights: t.Weights, hash: xxhash.Sum64String(t.ID), parts: make(map[uint32]float64),
+			state: targetstate.NewTarget(g),
+		}
 	}
 	weights := m.Weights
 	if t.Weights != m.registryWeights {
@@ -283,6 +281,9 @@
 		return nil, 0
 	}
 	now := p.Clock()
+	s.group.Processes = p.fleet().fronts
+	s.group.Review(now)
+	p.queueStateHints(s)
 	tokens := totalTokens(req.Parts)
 	s.sizes.record(now, tokens)
 	use := p.limitUseFor(s, now, tokens)
@@ -295,13 +296,13 @@
 		best = p.cheapest(s, &req, now, use, true)
 	}
 	if best != nil {
-		p.recordChoice(best, &req, now)
+		p.recordChoice(s, best, &req, now)
 	}
 	return best, len(s.members)
 }
 
 // cheapest returns a Choice of the member with the lowest cost. Members that are
-// down are considered only if includeDown is set, and members with a limit only as far as
+// down or ejected are considered only if includeDown is set, and members with a limit only as far as
 // use allows.
 func (p *Placer) cheapest(s *service, req *Request, now time.Time, use limitUse, includeDown bool) *Choice {
 	home := p.homeFor(s, req, now)
@@ -309,18 +310,18 @@
 	var best *Choice
 	bestCost, bestLoad := math.Inf(1), 0.0
 	for _, m := range s.members {
-		if !eligible(m, req, includeDown) || !p.admits(m, now) || !use.allows(m, now, p.fleet()) {
+		if !eligible(m, req, now, includeDown) || !p.admits(m, now) || !use.allows(m, now, p.fleet()) {
 			continue
 		}
 		c := p.evaluate(m, home, holders, req, now)
-		cost := p.roundTripMS(m) + c.workMS + m.currentWait(now) + m.currentBacklog(now) + m.currentFailureRate(now)*failurePenaltyMS
+		c.expectation = m.state.Expect(now, p.work(c, req))
+		cost := c.expectation.MS + m.state.FailureRate(now)*failurePenaltyMS
 		if req.Weights > m.Weights && m.Weights > 0 {
 			cost += staleWeightsPenaltyMS
 		}
-		c.Expected = time.Duration((cost - m.currentFailureRate(now)*failurePenaltyMS) * float64(time.Millisecond))
 		cost += use.delayToOthers(m, c.workMS)
 		if c.Home {
-			cost -= homeDiscount * float64(totalTokens(req.sharedParts())) / prefillTokensPerMS
+			cost -= homeDiscount * s.group.Slowdown() * float64(totalTokens(req.sharedParts())) / prefillTokensPerMS
 		}
 		load := float64(m.inflight)*inflightPenaltyMS + p.random()
 		if cost < bestCost-tieThresholdMS || cost < bestCost+tieThresholdMS && load < bestLoad {
@@ -419,9 +420,18 @@
 // the latency objective.
 const staleWeightsPenaltyMS = 120.0
 
-// eligible reports whether the request can be placed at m.
-func eligible(m *member, req *Request, includeDown bool) bool {
-	if m.Excluded || m.down && !includeDown {
+// work returns the request of a choice as far as it matters for the time that the target
+// needs. The time for a request without a prompt does not follow from its size.
+func (p *Placer) work(c *Choice, req *Request) targetstate.Work {
+	return targetstate.Work{
+		Class: req.Class, Priority: req.Priority, WorkMS: c.workMS, RoundTripMS: p.roundTripMS(c.member), Known: len(req.Parts) > 0,
+	}
+}
+
+// eligible reports whether the request can be placed at m. Targets that are down or ejected
+// are not, unless includeDown is set.
+func eligible(m *member, req *Request, now time.Time, includeDown bool) bool {
+	if m.Excluded || !includeDown && (m.down || !m.state.Usable(now)) {
 		return false
 	}
 	for _, id := range req.Exclude {
@@ -463,15 +473,17 @@
 
 // recordChoice updates the state of the chosen member and queues a hint for the
 // other fronts.
-func (p *Placer) recordChoice(c *Choice, req *Request, now time.Time) {
+func (p *Placer) recordChoice(s *service, c *Choice, req *Request, now time.Time) {
 	c.sentAt = now
 	m := c.member
 	m.admission.take(now, p.fleet())
+	c.Expected = time.Duration(c.expectation.MS * float64(time.Millisecond))
+	c.Certain = s.group.Certain(now, c.expectation)
 	c.Belief = m.belief(now)
-	c.includedWaitMS = m.currentWait(now)
+	c.service, c.priority = req.Service, req.Priority
+	c.attempt = m.state.Send(now, p.work(c, req), c.expectation)
 	m.inflight++
-	m.waiting = append(m.waiting, c)
-	m.addBacklog(now, c.workMS)
+	m.addBacklog(now, c.priority, c.workMS)
 	m.insertTokens(now, c.insertedTokens)
 	p.uses.record(now, partHashes(req.sharedParts()))
 	for _, part := range req.Parts {
--- a/internal/placement/placer_test.go
+++ b/internal/placement/placer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -72,13 +73,22 @@
 	p := newTestPlacer(clock, 9)
 	used := make(map[string]int)
 	slowest, fetched := time.Duration(0), 0
+	var running []*Choice
 	for i := range uint64(60) {
+		running = slices.DeleteFunc(running, func(c *Choice) bool {
+			answered := clock.now.Sub(c.sentAt) >= c.Expected
+			if answered {
+				completeRequest(p, c)
+			}
+			return answered
+		})
 		c := mustChoose(t, p, sharedPrompt(1, 7, i))
 		used[c.Target.ID]++
 		slowest = max(slowest, c.Expected)
 		if c.FetchFrom != nil {
 			fetched++
 		}
+		running = append(running, c)
 		clock.advance(25 * time.Millisecond)
 	}
 	if len(used) < 3 {
--- a/internal/placement/unanswered.go
+++ b/internal/placement/unanswered.go
@@ -1,9 +1,6 @@
 package placement
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Belief is what this VM believed of a target when it chose it.
 type Belief struct {
@@ -13,6 +10,9 @@
 	FailureRate float64
 	// Slowdown is how many times longer than nominal the target takes.
 	Slowdown float64
+	// Ejected is set while the target gets no requests, or one at a time, because it
+	// swallows some.
+	Ejected bool
 	// Unanswered is the number of requests of this VM without a first byte, and Oldest
 	// the age of the oldest one.
 	Unanswered int
@@ -26,7 +26,8 @@
 const (
 	// CauseEarly means that the request ended within the expected time.
 	CauseEarly Cause = iota
-	// CauseSilent means that the target has answered requests that were sent later.
+	// CauseSilent means that the target has answered requests that were sent later, or
+	// nothing while others answered.
 	CauseSilent
 	// CauseQueue means that the target had more to do than was known.
 	CauseQueue
@@ -63,7 +64,7 @@
 		u.Cause = CauseStop
 	case u.Waited <= c.Expected:
 		u.Cause = CauseEarly
-	case m.answeredUpTo.After(c.sentAt):
+	case c.attempt.Overtaken() || c.attempt.Suspected():
 		u.Cause = CauseSilent
 	case m.admission.limited:
 		u.Cause = CauseLimit
@@ -77,26 +78,10 @@
 
 // belief returns what is believed of m.
 func (m *member) belief(now time.Time) Belief {
-	b := Belief{
-		Wait:        time.Duration(m.currentWait(now) * float64(time.Millisecond)),
-		FailureRate: m.currentFailureRate(now), Slowdown: 1, Unanswered: len(m.waiting),
-	}
-	if len(m.waiting) > 0 {
-		b.Oldest = now.Sub(m.waiting[0].sentAt)
-	}
-	return b
-}
-
-// endWait removes a choice from the requests without a first byte.
-func (m *member) endWait(c *Choice) {
-	if i := slices.Index(m.waiting, c); i >= 0 {
-		m.waiting = slices.Delete(m.waiting, i, i+1)
-	}
-}
-
-// recordAnswer records that the target of a choice has answered.
-func (m *member) recordAnswer(c *Choice) {
-	if c.sentAt.After(m.answeredUpTo) {
-		m.answeredUpTo = c.sentAt
+	waiting, oldest := m.state.Waiting(now)
+	return Belief{
+		Wait:        time.Duration(m.state.Wait(now) * float64(time.Millisecond)),
+		FailureRate: m.state.FailureRate(now), Slowdown: m.state.Slowdown(now), Ejected: m.state.Ejected(now),
+		Unanswered: waiting, Oldest: oldest,
 	}
 }
--- a/internal/placement/uses.go
+++ b/internal/placement/uses.go
@@ -97,6 +97,9 @@
 	}
 	memory, rate := 0.0, 0.0
 	for _, m := range s.members {
+		if m.state.Ejected(now) {
+			continue
+		}
 		memory += m.cacheBudget()
 		rate += m.insertion.perSecond(now)
 	}
--- a/internal/proxy/log.go
+++ b/internal/proxy/log.go
@@ -107,6 +107,7 @@
 	e.AddDuration("wait", b.Wait)
 	e.AddFloat64("failure_rate", b.FailureRate)
 	e.AddFloat64("slowdown", b.Slowdown)
+	e.AddBool("ejected", b.Ejected)
 	e.AddInt("unanswered", b.Unanswered)
 	e.AddDuration("oldest", b.Oldest)
 	return nil
