--- a/internal/placement/bounds.go
+++ b/internal/placement/bounds.go
@@ -20,5 +20,8 @@
 	return 0
 }
 
-// Work returns the part of Expected that the request itself takes at the target.
-func (c *Choice) Work() time.Duration { return time.Duration(c.workMS * float64(time.Millisecond)) }
+// Work returns the part of Expected that the request itself takes at the target, at its present
+// speed.
+func (c *Choice) Work() time.Duration {
+	return time.Duration(c.slowdown * c.workMS * float64(time.Millisecond))
+}
--- a/internal/placement/bounds_test.go
+++ b/internal/placement/bounds_test.go
@@ -43,7 +43,7 @@
 			// The prompt is cached at its home, which is preferred in spite of its queue.
 			req := sharedPrompt(1, 1, 2)
 			home := p.homeFor(p.services["model"], &req, clock.now)
-			home.addBacklog(clock.now, 85)
+			home.addBacklog(clock.now, 0, 85)
 			c := mustChoose(t, p, req)
 			if c.Target.ID != home.ID {
 				t.Fatalf("the prompt goes to %s, and not to its home", c.Target.ID)
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/cuminwing/cuminwing/internal/targetstate"
 )
 
 const (
@@ -20,10 +22,6 @@
 	// defaultCacheTokens is the memory, in tokens, assumed for engines whose
 	// memory is not known.
 	defaultCacheTokens = 80_000
-	// waitHalfLife is the half-life of an observed wait at a target.
-	waitHalfLife = 700 * time.Millisecond
-	// failureHalfLife is the half-life of a target's failure rate.
-	failureHalfLife = 4 * time.Second
 	// prefillTokensPerMS is the number of prompt tokens that an engine prefills
 	// per millisecond. Prefill proceeds in steps of prefillChunkTokens. Each
 	// step adds prefillStepMS, and each pair of a token and an earlier token
@@ -98,6 +96,8 @@
 	Weights uint64
 	// Priority is the priority with which the target runs the request; 0 is the highest.
 	Priority int
+	// Class names requests that targets answer alike, for example the route.
+	Class string
 	// Exclude lists the IDs of targets that have failed this request.
 	Exclude []string
 	// Bounds are the times beyond which a target is chosen only if there is no better one.
@@ -136,16 +136,23 @@
 	Limited bool
 	// Refused is set if Request.Accept has rejected the choice. Done must not be called.
 	Refused bool
+	// Belief is what was believed of the target.
+	Belief Belief
+	// Unanswered is set by Done if the request was sent and ended without a first byte.
+	Unanswered *Unanswered
 
-	member *member
+	member  *member
+	attempt *targetstate.Attempt
 	// workMS is the time that the engine needs to fetch and prefill the prompt.
 	workMS float64
+	// slowdown is how many times longer than that the target takes.
+	slowdown float64
 	// insertedTokens is the number of tokens that the request adds to the
 	// engine's memory.
 	insertedTokens float64
-	// includedWaitMS is the wait observed at earlier requests, which Expected
-	// includes.
-	includedWaitMS float64
+	expectation    targetstate.Expectation
+	service        string
+	priority       int
 	sentAt         time.Time
 	firstByteSeen  bool
 }
@@ -159,16 +166,9 @@
 	registryWeights uint64
 	// inflight counts the requests of this VM in flight.
 	inflight int
-	// backlogMS is the prefill work, from all VMs, that was left at backlogAt.
-	backlogMS float64
-	backlogAt time.Time
-	// waitMS is the observed wait beyond the expected time, as of waitAt.
-	waitMS float64
-	waitAt time.Time
-	// failureRate is the decayed fraction of failed requests, as of
-	// failureRateAt.
-	failureRate   float64
-	failureRateAt time.Time
+	state    *targetstate.Target
+	// ejected is set while the state says so, as of the latest choice of a home.
+	ejected bool
 	// down is set after a failed connection. A target that is down gets
 	// requests only if no other one is left.
 	down bool
@@ -186,6 +186,7 @@
 
 type service struct {
 	members []*member
+	group   *targetstate.Group
 	sizes   requestSizes
 }
 
@@ -198,6 +199,13 @@
 	// OnNotice is called when what this VM knows of the requests that a target accepts
 	// changes. It must not block or call the Placer. It may be nil.
 	OnNotice func(NoticeChange)
+	// OnFirstByte is called with the expected and the actual time to a first byte, and
+	// OnUnanswered with the cause if an attempt ends without one. They must not block or
+	// call the Placer. They may be nil.
+	OnFirstByte  func(expected, actual time.Duration)
+	OnUnanswered func(expected time.Duration, cause Cause)
+	// Stopping reports whether this VM stops. It may be nil.
+	Stopping func() bool
 	// random returns a random number from 0 to 1.
 	random func() float64
 
@@ -234,13 +242,17 @@
 				known[m.ID] = m
 			}
 		}
-		s := &service{}
+		s := &service{group: targetstate.NewGroup(p.random)}
 		if old := p.services[name]; old != nil {
-			s.sizes = old.sizes
+			s.sizes, s.group = old.sizes, old.group
 		}
-		for _, t := range list {
-			s.members = append(s.members, mergeMember(known[t.ID], t))
+		states := make([]*targetstate.Target, len(list))
+		for i, t := range list {
+			m := mergeMember(known[t.ID], t, s.group)
+			s.members = append(s.members, m)
+			states[i] = m.state
 		}
+		s.group.SetTargets(states)
 		next[name] = s
 	}
 	p.services = next
@@ -249,9 +261,12 @@
 
 // mergeMember applies a registry entry to the known member. The state is kept
 // if the incarnation is the same; new weights invalidate the cache.
-func mergeMember(m *member, t Target) *member {
+func mergeMember(m *member, t Target, g *targetstate.Group) *member {
 	if m == nil || m.Address != t.Address || m.Started != t.Started {
-		return &member{Target: t, registryWeights: t.Weights, hash: xxhash.Sum64String(t.ID), parts: make(map[uint32]float64)}
+		return &member{
+			Target: t, registryWeights: t.Weights, hash: xxhash.Sum64String(t.ID), parts: make(map[uint32]float64),
+			state: targetstate.NewTarget(g),
+		}
 	}
 	weights := m.Weights
 	if t.Weights != m.registryWeights {
@@ -277,6 +292,9 @@
 		return nil, 0
 	}
 	now := p.Clock()
+	s.group.Processes = p.fleet().fronts
+	s.group.Review(now)
+	p.queueStateHints(s)
 	tokens := totalTokens(req.Parts)
 	s.sizes.record(now, tokens)
 	use := p.limitUseFor(s, now, tokens)
@@ -291,14 +309,15 @@
 	if best == nil {
 		return nil, len(s.members)
 	}
+	best.Certain = s.group.Certain(now, best.expectation)
 	if best.Refused = req.Accept != nil && !req.Accept(best); !best.Refused {
-		p.recordChoice(best, &req, now)
+		p.recordChoice(s, best, &req, now)
 	}
 	return best, len(s.members)
 }
 
 // cheapest returns a Choice of the member with the lowest cost. Members that are
-// down are considered only if includeDown is set, and members with a limit only as far as
+// down or ejected are considered only if includeDown is set, and members with a limit only as far as
 // use allows.
 func (p *Placer) cheapest(s *service, req *Request, now time.Time, use limitUse, includeDown bool) *Choice {
 	home := p.homeFor(s, req, now)
@@ -306,18 +325,20 @@
 	var best *Choice
 	bestCost, bestLoad := math.Inf(1), 0.0
 	for _, m := range s.members {
-		if !eligible(m, req, includeDown) || !p.admits(m, now) || !use.allows(m, now, p.fleet()) {
+		if !eligible(m, req, now, includeDown) || !p.admits(m, now) || !use.allows(m, now, p.fleet()) {
 			continue
 		}
 		c := p.evaluate(m, home, holders, req, now)
-		cost := p.roundTripMS(m) + c.workMS + m.currentWait(now) + m.currentBacklog(now) + m.currentFailureRate(now)*failurePenaltyMS
+		c.expectation = m.state.Expect(now, p.work(c, req))
+		c.Expected = time.Duration(c.expectation.MS * float64(time.Millisecond))
+		c.slowdown = m.state.Slowdown(now)
+		cost := c.expectation.MS + m.state.FailureRate(now)*failurePenaltyMS
 		if req.Weights > m.Weights && m.Weights > 0 {
 			cost += staleWeightsPenaltyMS
 		}
-		c.Expected = time.Duration((cost - m.currentFailureRate(now)*failurePenaltyMS) * float64(time.Millisecond))
 		cost += use.delayToOthers(m, c.workMS) + req.Bounds.penaltyMS(c)
 		if c.Home {
-			cost -= homeDiscount * float64(totalTokens(req.sharedParts())) / prefillTokensPerMS
+			cost -= homeDiscount * s.group.Slowdown() * float64(totalTokens(req.sharedParts())) / prefillTokensPerMS
 		}
 		load := float64(m.inflight)*inflightPenaltyMS + p.random()
 		if cost < bestCost-tieThresholdMS || cost < bestCost+tieThresholdMS && load < bestLoad {
@@ -416,9 +437,18 @@
 // the latency objective.
 const staleWeightsPenaltyMS = 120.0
 
-// eligible reports whether the request can be placed at m.
-func eligible(m *member, req *Request, includeDown bool) bool {
-	if m.Excluded || m.down && !includeDown {
+// work returns the request of a choice as far as it matters for the time that the target
+// needs. The time for a request without a prompt does not follow from its size.
+func (p *Placer) work(c *Choice, req *Request) targetstate.Work {
+	return targetstate.Work{
+		Class: req.Class, Priority: req.Priority, WorkMS: c.workMS, RoundTripMS: p.roundTripMS(c.member), Known: len(req.Parts) > 0,
+	}
+}
+
+// eligible reports whether the request can be placed at m. Targets that are down or ejected
+// are not, unless includeDown is set.
+func eligible(m *member, req *Request, now time.Time, includeDown bool) bool {
+	if m.Excluded || !includeDown && (m.down || !m.state.Usable(now)) {
 		return false
 	}
 	for _, id := range req.Exclude {
@@ -460,13 +490,15 @@
 
 // recordChoice updates the state of the chosen member and queues a hint for the
 // other fronts.
-func (p *Placer) recordChoice(c *Choice, req *Request, now time.Time) {
+func (p *Placer) recordChoice(s *service, c *Choice, req *Request, now time.Time) {
 	c.sentAt = now
 	m := c.member
 	m.admission.take(now, p.fleet())
-	c.includedWaitMS = m.currentWait(now)
+	c.Belief = m.belief(now)
+	c.service, c.priority = req.Service, req.Priority
+	c.attempt = m.state.Send(now, p.work(c, req), c.expectation)
 	m.inflight++
-	m.addBacklog(now, c.workMS)
+	m.addBacklog(now, c.priority, c.workMS)
 	m.insertTokens(now, c.insertedTokens)
 	p.uses.record(now, partHashes(req.sharedParts()))
 	for _, part := range req.Parts {
