Blame targets for silence only beyond the usual wait of a class

A request is overdue now by the recent mean wait of its class as well, silence alone means nothing while the group is known to be slow, and an abandoned wait is an observation also if most of its class are unanswered. Each silent target is compared with the targets that have answered since its own request was due.

--- a/internal/targetstate/group.go
+++ b/internal/targetstate/group.go
@@ -1,6 +1,9 @@
 package targetstate
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// overdueFactor and overdueMarginMS tell when a request without a first byte is overdue:
@@ -9,10 +12,14 @@
 	overdueFactor            = 2.0
 	overdueMarginMS          = 300.0
 	overtakenOverdueMarginMS = 150.0
+	// answeringShare is how many silent targets there may be for each one that answers.
+	answeringShare = 2
 	// reviewInterval is the shortest time between two reviews of a group.
 	reviewInterval = 10 * time.Millisecond
 	// classHalfLife is the half-life of what is known of a class of requests.
 	classHalfLife = 5 * time.Second
+	// classWaitHalfLife is the half-life of a wait in the mean of its class.
+	classWaitHalfLife = time.Second
 	// maxClasses limits the classes that are told apart.
 	maxClasses = 1024
 	// calibrationHalfLife is the half-life of the agreement of expectations with responses.
@@ -40,10 +47,13 @@
 	classes     map[string]*class
 	calibration calibration
 	events      []Event
+	// answerTimes is used by suspectSilent.
+	answerTimes []time.Time
 }
 
-// class counts the requests of a class that were answered and that were not.
-type class struct{ answered, silent decaying }
+// class counts the requests of a class that were answered and that were not, and sums the
+// times that targets took.
+type class struct{ answered, silent, waits, waitsMS decaying }
 
 // NewGroup returns a group without targets.
 func NewGroup(random func() float64) *Group {
@@ -68,37 +78,35 @@
 func (g *Group) review(now time.Time) {
 	g.reviewed = now
 	g.rawSlowdown = max(1, g.speed.factor(now, 1, groupPriorMS))
-	silent, latestDue := 0, time.Time{}
+	g.suspectSilent(now)
+}
+
+// suspectSilent suspects the targets that are silent while others answer. Where more are
+// silent than have answered since, the link or this process is rather at fault.
+func (g *Group) suspectSilent(now time.Time) {
+	silent := 0
+	g.answerTimes = g.answerTimes[:0]
 	for _, t := range g.targets {
-		if due, found := t.silentSince(now); found {
+		if _, found := t.silentSince(now); found {
 			silent++
-			if due.After(latestDue) {
-				latestDue = due
-			}
+		} else if !t.answeredAt.IsZero() {
+			g.answerTimes = append(g.answerTimes, t.answeredAt)
 		}
 	}
-	if silent == 0 || !g.othersAnswer(now, silent, latestDue) {
+	if silent == 0 {
 		return
 	}
+	slices.SortFunc(g.answerTimes, time.Time.Compare)
 	for _, t := range g.targets {
-		t.suspect(now)
-	}
-}
-
-// othersAnswer reports whether targets that answer show that the silent ones are at fault,
-// rather than the link or this process: at least half as many have answered since the
-// silent ones should have.
-func (g *Group) othersAnswer(now time.Time, silent int, due time.Time) bool {
-	answering := 0
-	for _, t := range g.targets {
-		if !t.answeredAt.After(due) {
+		due, found := t.silentSince(now)
+		if !found {
 			continue
 		}
-		if _, found := t.silentSince(now); !found {
-			answering++
+		before, _ := slices.BinarySearchFunc(g.answerTimes, due, time.Time.Compare)
+		if answering := len(g.answerTimes) - before; answering > 0 && answeringShare*answering >= silent {
+			t.suspect(now)
 		}
 	}
-	return answering > 0 && 2*answering >= silent
 }
 
 // silentSince reports whether the target may have swallowed a request, and when the oldest
@@ -130,10 +138,11 @@
 // dueMS returns the time within which the request should have been answered, by what is
 // known now: the target may have become slower, and more urgent work may have come.
 func (a *Attempt) dueMS(now time.Time) float64 {
+	due := max(a.expectation.MS, a.target.group.meanWait(now, a.work.Class))
 	if !a.work.Known {
-		return a.expectation.MS
+		return due
 	}
-	return max(a.expectation.MS, a.target.Slowdown(now)*(a.expectation.NominalMS+a.target.backlog.sentSince(a)))
+	return max(due, a.target.Slowdown(now)*(a.expectation.NominalMS+a.target.backlog.sentSince(a)))
 }
 
 func (a *Attempt) due(now time.Time) time.Time {
@@ -151,9 +160,13 @@
 
 // swallowed reports whether the target may have swallowed the request: it is overdue, and
 // the target has answered later ones or nothing since. A target that answers more urgent
-// requests may still have this one in its queue.
+// requests may still have this one in its queue. While targets are slow, their queues
+// differ too much for silence alone to mean anything.
 func (a *Attempt) swallowed(now time.Time) bool {
-	return a.overdue(now) && (a.overtaken || !a.target.answeredAt.After(a.due(now)))
+	if !a.overdue(now) {
+		return false
+	}
+	return a.overtaken || a.target.group.Slowdown() < reportedSlowdown && !a.target.answeredAt.After(a.due(now))
 }
 
 // mayEject reports whether one more target may be ejected: under half of all.
@@ -177,9 +190,28 @@
 	if c := g.class(a.work.Class); c != nil {
 		c.answered.add(now, classHalfLife, 1)
 	}
+	g.recordWait(now, a)
 	g.calibration.add(now, a.expectation.MS, a.ageMS(now) >= agreeingFraction*a.expectation.MS)
 }
 
+// recordWait records how long a request of a class has waited.
+func (g *Group) recordWait(now time.Time, a *Attempt) {
+	if c := g.class(a.work.Class); c != nil {
+		c.waits.add(now, classWaitHalfLife, 1)
+		c.waitsMS.add(now, classWaitHalfLife, a.ageMS(now))
+	}
+}
+
+// meanWait returns how long requests of a class waited recently, in milliseconds. A request
+// that waits as long may be queued, whatever was expected.
+func (g *Group) meanWait(now time.Time, name string) float64 {
+	c := g.classes[name]
+	if c == nil || c.waits.value == 0 {
+		return 0
+	}
+	return c.waitsMS.value / c.waits.value * halved(now.Sub(c.waits.seen), classHalfLife)
+}
+
 func (g *Group) recordSilence(now time.Time, a *Attempt) {
 	if c := g.class(a.work.Class); c != nil {
 		c.silent.add(now, classHalfLife, 1)
@@ -207,6 +239,12 @@
 	return answered >= minClassAnswers && answered >= c.silent.at(now, classHalfLife)
 }
 
+// answersAny reports whether targets answer at least some requests of a class.
+func (g *Group) answersAny(now time.Time, name string) bool {
+	c := g.classes[name]
+	return c != nil && c.answered.at(now, classHalfLife) >= minClassAnswers
+}
+
 // minClassAnswers is the decayed number of answers from which targets are known to answer
 // requests of a class.
 const minClassAnswers = 0.5
--- a/internal/targetstate/target.go
+++ b/internal/targetstate/target.go
@@ -238,8 +238,9 @@
 	case overdue && a.suspected:
 		t.recordOutcome(now, 1)
 		t.strike(now, a)
-	case a.ageMS(now) > a.expectation.MS && t.group.answers(now, a.work.Class):
+	case a.ageMS(now) > a.expectation.MS && t.group.answersAny(now, a.work.Class):
 		t.observe(now, a)
+		t.group.recordWait(now, a)
 		t.group.calibration.add(now, a.expectation.MS, true)
 	}
 }
--- a/internal/targetstate/targetstate_test.go
+++ b/internal/targetstate/targetstate_test.go
@@ -361,3 +361,81 @@
 		t.Errorf("1,000 reports at once count as %v ms of requests, want %v", target.speed.nominalMS, peerSlownessMS)
 	}
 }
+
+// Guards against targets that are suspected of swallowing requests because the queues of
+// slow targets differ.
+func TestSilenceOfSlowTargetsAloneIsNoSuspicion(t *testing.T) {
+	s := newSimulation(4)
+	target, others := s.targets[0], s.targets[1:]
+	for range 4 {
+		for _, other := range others {
+			s.answer(other, request(0), 600*time.Millisecond)
+		}
+	}
+	queued, overtaken := s.send(target, request(0)), s.send(others[0], request(0))
+	s.advance(time.Millisecond)
+	for range 12 {
+		for _, other := range others {
+			s.answer(other, request(0), 300*time.Millisecond)
+		}
+	}
+	s.group.Review(s.now)
+	if queued.Suspected() || !overtaken.Suspected() {
+		t.Errorf("queued request suspected: %v, want false; overtaken one: %v, want true", queued.Suspected(), overtaken.Suspected())
+	}
+}
+
+// Guards against requests without known work that are suspected although others of their
+// class take as long.
+func TestWaitThatIsUsualForTheClassIsNoSuspicion(t *testing.T) {
+	s := newSimulation(4)
+	w := Work{Class: "plain", RoundTripMS: 1}
+	for range 3 {
+		for _, other := range s.targets[1:] {
+			s.answer(other, w, 400*time.Millisecond)
+		}
+	}
+	a := s.send(s.targets[0], w)
+	for range 2 {
+		s.answer(s.targets[1], w, 300*time.Millisecond)
+		s.answer(s.targets[2], w, 50*time.Millisecond)
+	}
+	s.group.Review(s.now)
+	if a.Suspected() {
+		t.Errorf("a request is suspected after %v, others take 400 ms", s.now.Sub(a.sentAt))
+	}
+}
+
+// Guards against waits of an overload that teach nothing because most requests of their
+// class end without an answer.
+func TestAbandonedWaitIsAnObservationIfMostOfItsClassAreUnanswered(t *testing.T) {
+	s := newSimulation(3)
+	target := s.targets[0]
+	s.answerAll(target)
+	for range 20 {
+		a := s.send(target, request(0))
+		target.endWait(a)
+		s.group.recordSilence(s.now, a)
+	}
+	a := s.send(target, request(0))
+	s.advance(2 * time.Second)
+	target.End(s.now, a, Abandoned)
+	if e := target.Expect(s.now, request(0)).MS; e < 500 {
+		t.Errorf("%v ms are expected after a wait of 2 s without an answer", e)
+	}
+}
+
+// Guards against estimates that outlast the state of a target while it gets no requests.
+func TestEstimatesAreForgottenWithoutRequests(t *testing.T) {
+	s := newSimulation(2)
+	for range 5 {
+		s.answer(s.targets[0], request(0), 500*time.Millisecond)
+	}
+	s.advance(5 * time.Second)
+	s.group.Review(s.now)
+	for i, target := range s.targets {
+		if e := target.Expect(s.now, request(0)).MS; e > 100 {
+			t.Errorf("%v ms are expected of target %d 5 s after the last request", e, i)
+		}
+	}
+}
