--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -307,14 +307,14 @@
 func (p *Placer) cheapest(s *service, req *Request, now time.Time, use limitUse, includeDown bool) *Choice {
 	home := p.homeFor(s, req, now)
 	holders := s.holdersByZone(req)
-	var best *Choice
+	var best, c Choice
 	bestCost, bestLoad := math.Inf(1), 0.0
 	for _, m := range s.members {
 		if !eligible(m, req, now, includeDown) || !p.admits(m, now) || !use.allows(m, now, p.fleet()) {
 			continue
 		}
-		c := p.evaluate(m, home, holders, req, now)
-		c.expectation = m.state.Expect(now, p.work(c, req))
+		p.evaluate(&c, m, home, holders, req, now)
+		c.expectation = m.state.Expect(now, p.work(&c, req))
 		cost := c.expectation.MS + m.state.FailureRate(now)*failurePenaltyMS
 		if req.Weights > m.Weights && m.Weights > 0 {
 			cost += staleWeightsPenaltyMS
@@ -328,18 +328,27 @@
 			best, bestCost, bestLoad = c, cost, load
 		}
 	}
-	return best
+	if best.member == nil {
+		return nil
+	}
+	chosen := best
+	chosen.Target = best.member.Target
+	if best.FetchFrom != nil {
+		source := *best.FetchFrom
+		chosen.FetchFrom = &source
+	}
+	return &chosen
 }
 
-// evaluate returns a Choice of m with the work that the request causes there.
-func (p *Placer) evaluate(m, home *member, holders []cacheHolder, req *Request, now time.Time) *Choice {
+// evaluate sets c to a choice of m, but for its Target, with the work that the request
+// causes there. FetchFrom points to the state of the Placer.
+func (p *Placer) evaluate(c *Choice, m, home *member, holders []cacheHolder, req *Request, now time.Time) {
 	cached := m.cachedTokens(req)
-	c := &Choice{Target: m.Target, CachedTokens: cached, Home: m == home, member: m}
+	*c = Choice{CachedTokens: cached, Home: m == home, member: m}
 	fetchedTokens, fetchMS := p.planTransfers(c, holders, req, now)
 	all := totalTokens(req.Parts)
 	c.insertedTokens = float64(all - cached)
 	c.workMS = prefillMS(all-cached-fetchedTokens, cached+fetchedTokens) + fetchMS
-	return c
 }
 
 // prefillMS returns the time that an engine needs to prefill new tokens after
--- a/internal/placement/store.go
+++ b/internal/placement/store.go
@@ -25,7 +25,9 @@
 // the content of the stores from the requests placed at engines.
 type store struct {
 	Store
-	hash uint64
+	// target is the store as an origin of fetches.
+	target Target
+	hash   uint64
 	// insertedTokens is the total number of tokens saved to the store.
 	insertedTokens float64
 	parts          map[uint64]savedPart
@@ -63,7 +65,9 @@
 	for _, s := range list {
 		next := known[s.Address]
 		if next == nil {
-			next = &store{hash: xxhash.Sum64String(s.Address), parts: make(map[uint64]savedPart)}
+			next = &store{
+				target: Target{ID: s.Address, Address: s.Address}, hash: xxhash.Sum64String(s.Address), parts: make(map[uint64]savedPart),
+			}
 		}
 		next.Store = s
 		p.stores = append(p.stores, next)
@@ -169,8 +173,7 @@
 	if source := m.fetchSource(holders, cached); source != nil {
 		tokens = source.tokens - cached
 		fetchMS = fetchSetupMS + float64(tokens)*fetchMSPerToken(m, source.member)
-		target := source.Target
-		c.FetchFrom = &target
+		c.FetchFrom = &source.Target
 	}
 	shared := req.sharedParts()
 	size := totalTokens(shared)
@@ -194,7 +197,7 @@
 		// Query the store even if the engine is expected to hold the parts. A
 		// miss costs a millisecond; a hit avoids the prefill of a part that the
 		// engine has evicted without the front noticing.
-		c.FetchFrom = &Target{ID: store.Address, Address: store.Address}
+		c.FetchFrom = &store.target
 	}
 	return tokens, fetchMS
 }
