Count what callers have waited for as evidence of an expectation

In an overload no expectation was certain: callers leave before the expected time has passed, which counted for nothing, and a wait of 10 s needed evidence of 10 s though the caller leaves after 2.

A wait that ends without a byte agrees with expectations of its length, and so do requests that still wait; a refusal needs evidence up to its bound only; and each priority has its own calibration, as the short waits of urgent requests say nothing about those of others.

--- a/internal/placement/bounds.go
+++ b/internal/placement/bounds.go
@@ -25,3 +25,16 @@
 func (c *Choice) Work() time.Duration {
 	return time.Duration(c.slowdown * c.workMS * float64(time.Millisecond))
 }
+
+// claimMS returns the least time to the first byte that must be certain for a refusal: an
+// expectation far beyond a bound needs no better evidence than the bound.
+func (b Bounds) claimMS(c *Choice) float64 {
+	claim := c.Expected
+	if b.First > 0 {
+		claim = min(claim, b.First)
+	}
+	if b.Wait > 0 {
+		claim = min(claim, b.Wait+c.Work())
+	}
+	return float64(claim) / float64(time.Millisecond)
+}
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -309,7 +309,7 @@
 	if best == nil {
 		return nil, len(s.members)
 	}
-	best.Certain = s.group.Certain(now, best.expectation)
+	best.Certain = best.member.state.Certain(now, req.Priority, req.Bounds.claimMS(best))
 	if best.Refused = req.Accept != nil && !req.Accept(best); !best.Refused {
 		p.recordChoice(s, best, &req, now)
 	}
--- a/internal/targetstate/group.go
+++ b/internal/targetstate/group.go
@@ -22,14 +22,6 @@
 	classWaitHalfLife = time.Second
 	// maxClasses limits the classes that are told apart.
 	maxClasses = 1024
-	// calibrationHalfLife is the half-life of the agreement of expectations with responses.
-	// An expectation is certain if at least minAgreement of the time expected recently
-	// has passed, over at least minAgreements responses.
-	calibrationHalfLife = 1500 * time.Millisecond
-	minAgreement        = 0.7
-	minAgreements       = 3.0
-	// agreeingFraction is the fraction of the expected time from which a response agrees.
-	agreeingFraction = 0.5
 )
 
 // Group is the targets of one service. They are compared with each other: what is wrong
@@ -45,7 +37,7 @@
 	rawSlowdown float64
 	reviewed    time.Time
 	classes     map[string]*class
-	calibration calibration
+	calibration [levels]calibration
 	events      []Event
 	// answerTimes is used by suspectSilent.
 	answerTimes []time.Time
@@ -191,7 +183,7 @@
 		c.answered.add(now, classHalfLife, 1)
 	}
 	g.recordWait(now, a)
-	g.calibration.add(now, a.expectation.MS, a.ageMS(now) >= agreeingFraction*a.expectation.MS)
+	g.calibration[level(a.work.Priority)].recordAnswer(now, a.expectation.MS, a.ageMS(now))
 }
 
 // recordWait records how long a request of a class has waited.
@@ -248,25 +240,3 @@
 // minClassAnswers is the decayed number of answers from which targets are known to answer
 // requests of a class.
 const minClassAnswers = 0.5
-
-// Certain reports whether recent responses agree with expectations as long as e.
-func (g *Group) Certain(now time.Time, e Expectation) bool { return g.calibration.supports(now, e.MS) }
-
-// calibration compares expectations with responses. Each counts with the time expected, so
-// that short waits say little about long ones.
-type calibration struct{ agreeingMS, contradictingMS, agreements decaying }
-
-func (c *calibration) add(now time.Time, expectedMS float64, agrees bool) {
-	if !agrees {
-		c.contradictingMS.add(now, calibrationHalfLife, expectedMS)
-		return
-	}
-	c.agreeingMS.add(now, calibrationHalfLife, expectedMS)
-	c.agreements.add(now, calibrationHalfLife, 1)
-}
-
-func (c *calibration) supports(now time.Time, expectedMS float64) bool {
-	agreeing := c.agreeingMS.at(now, calibrationHalfLife)
-	all := agreeing + c.contradictingMS.at(now, calibrationHalfLife)
-	return agreeing >= expectedMS && agreeing >= minAgreement*all && c.agreements.at(now, calibrationHalfLife) >= minAgreements
-}
--- a/internal/targetstate/target.go
+++ b/internal/targetstate/target.go
@@ -238,10 +238,14 @@
 	case overdue && a.suspected:
 		t.recordOutcome(now, 1)
 		t.strike(now, a)
-	case a.ageMS(now) > a.expectation.MS && t.group.answersAny(now, a.work.Class):
+	case !t.group.answersAny(now, a.work.Class):
+	case a.ageMS(now) > a.expectation.MS:
 		t.observe(now, a)
 		t.group.recordWait(now, a)
-		t.group.calibration.add(now, a.expectation.MS, true)
+		t.group.calibration[level(a.work.Priority)].agree(now, a.expectation.MS)
+	default:
+		// The target would have taken longer; how long is not known.
+		t.group.calibration[level(a.work.Priority)].agree(now, a.ageMS(now))
 	}
 }
 
