Order refusals by rank within a priority, and end them sooner

The order now applies to requests that targets serve with the same priority. The share that is refused because of late responses outlasted the queue: its decline is three times as fast as its growth now.

TestHigherRanksAreRefusedFirstButNotStarved replaces the test with priorities: the requests that share a queue are now those of one priority.

--- a/internal/overload/control.go
+++ b/internal/overload/control.go
@@ -12,8 +12,9 @@
 type Request struct {
 	Service   string
 	Workspace string
-	// Priority is the priority of the request; 0 is the highest.
-	Priority int
+	// Priority is the priority with which targets serve the request; 0 is the highest. Rank
+	// orders requests of one priority: those of a higher rank are refused first.
+	Priority, Rank int
 	// Objective is the time within which the response should begin; 0 if there is none.
 	Objective time.Duration
 	// Patience is the time within which it must begin, before the caller leaves.
@@ -92,23 +93,28 @@
 
 // service is what a VM tracks of one service.
 type service struct {
-	priorities map[int]*priority
-	shares     shares
+	classes map[class]*classState
+	shares  shares
 	// lastAdmitted is when a request was sent last.
 	lastAdmitted time.Time
 }
 
-// priority is what the requests of one priority have found and met.
-type priority struct {
+// class is the requests of a service that are treated alike.
+type class struct{ priority, rank int }
+
+func (r *Request) class() class { return class{r.Priority, r.Rank} }
+
+// classState is what the requests of a class have found and met.
+type classState struct {
 	queue    queue
 	feedback feedback
 }
 
-func (s *service) priority(n int) *priority {
-	p := s.priorities[n]
+func (s *service) class(r Request) *classState {
+	p := s.classes[r.class()]
 	if p == nil {
-		p = &priority{}
-		s.priorities[n] = p
+		p = &classState{}
+		s.classes[r.class()] = p
 	}
 	return p
 }
@@ -121,7 +127,7 @@
 func (c *Control) service(name string) *service {
 	s := c.services[name]
 	if s == nil {
-		s = &service{priorities: make(map[int]*priority), lastAdmitted: c.clock()}
+		s = &service{classes: make(map[class]*classState), lastAdmitted: c.clock()}
 		c.services[name] = s
 	}
 	return s
@@ -134,7 +140,7 @@
 	defer c.mu.Unlock()
 	s := c.service(r.Service)
 	first = max(r.Patience-r.Waited, 1)
-	if s.priority(r.Priority).queue.standing {
+	if s.class(r).queue.standing {
 		wait = s.waitLimit(c.clock(), r)
 	}
 	return first, wait
@@ -153,7 +159,7 @@
 	}
 	s.shares.record(now, r, !v.Refused())
 	if v.Refused() {
-		v.RetryAfter = c.retryAfter(now, s.priority(r.Priority), r, e, v)
+		v.RetryAfter = c.retryAfter(now, s.class(r), r, e, v)
 	} else {
 		s.lastAdmitted = now
 	}
@@ -162,7 +168,7 @@
 }
 
 func (s *service) verdict(now time.Time, r Request, e Estimate, random float64) Verdict {
-	p := s.priority(r.Priority)
+	p := s.class(r)
 	limit := s.waitLimit(now, r)
 	p.queue.observe(now, r, e, limit)
 	share := p.feedback.share(now, r)
@@ -189,7 +195,7 @@
 func (c *Control) Observe(r Request, e Estimate, after time.Duration, answered bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.service(r.Service).priority(r.Priority).feedback.observe(c.clock(), r, e, after, answered)
+	c.service(r.Service).class(r).feedback.observe(c.clock(), r, e, after, answered)
 }
 
 // SilenceLimit returns how long a target may be silent before another one is tried, given the
@@ -199,7 +205,7 @@
 func (c *Control) SilenceLimit(r Request, expected, left time.Duration) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	longest := c.service(r.Service).priority(r.Priority).feedback.recentLongest(c.clock())
+	longest := c.service(r.Service).class(r).feedback.recentLongest(c.clock())
 	return silenceLimit(max(expected, longest/minSilentFactor), r.Objective, left)
 }
 
@@ -223,7 +229,7 @@
 // retryAfter returns when a refused caller should return: when the queue has drained, if
 // nothing else arrives. An overload that has lasted for some time is expected to last as long
 // again. The times are spread, so that callers do not return together.
-func (c *Control) retryAfter(now time.Time, p *priority, r Request, e Estimate, v Verdict) time.Duration {
+func (c *Control) retryAfter(now time.Time, p *classState, r Request, e Estimate, v Verdict) time.Duration {
 	wait := max(e.Expected-v.Limit, p.queue.age(now), p.feedback.age(now), minRetryAfter)
 	honoured := time.Duration(honouredFraction * float64(r.TimeLeft))
 	spread := c.random()
--- a/internal/overload/control_test.go
+++ b/internal/overload/control_test.go
@@ -135,23 +135,23 @@
 	}
 }
 
-// Guards against less urgent requests that are served while more urgent ones are refused, and
-// against a priority or a workspace that gets nothing in a long overload.
-func TestLessUrgentRequestsAreRefusedFirstButNotStarved(t *testing.T) {
+// Guards against requests that are served while those of a lower rank are refused, and against a
+// rank or a workspace that gets nothing in a long overload.
+func TestHigherRanksAreRefusedFirstButNotStarved(t *testing.T) {
 	const urgent, later = 0, 1
 	b := newBed()
 	var offered, served [2]int
 	workspaces := make(map[string]int)
-	// Requests of both priorities find the same queue, which each of them makes longer.
+	// Requests of both ranks find the same queue, which each of them makes longer.
 	wait := time.Second
 	for i := range 6000 {
 		b.now = b.now.Add(5 * time.Millisecond)
 		wait = max(wait-5*time.Millisecond, 0)
 		r := testRequest()
-		r.Priority, r.Workspace = i%2, fmt.Sprint(i%3)
-		offered[r.Priority]++
+		r.Rank, r.Workspace = i%2, fmt.Sprint(i%3)
+		offered[r.Rank]++
 		if v := b.decide(r, wait); !v.Refused() {
-			served[r.Priority]++
+			served[r.Rank]++
 			workspaces[r.Workspace]++
 			wait += 8 * time.Millisecond
 		}
--- a/internal/overload/feedback.go
+++ b/internal/overload/feedback.go
@@ -7,10 +7,11 @@
 // requests is refused, whatever the estimates are.
 
 const (
-	// shareStep is by how much the refused share changes in the time of an objective, and
-	// maxShare its bound: some requests must always show how long they wait.
-	shareStep = 0.15
-	maxShare  = 0.8
+	// shareGrowth and shareDecline are by how much the refused share changes in the time of an
+	// objective. maxShare is its bound: some requests must always show how long they wait.
+	shareGrowth  = 0.15
+	shareDecline = 0.5
+	maxShare     = 0.8
 	// maxSteps limits the change after a time without requests.
 	maxSteps = 2
 	// longestHalfLife is the half-life of the longest recent time to a first byte.
@@ -52,11 +53,11 @@
 	if r.Objective <= 0 {
 		return 0
 	}
-	step := shareStep * min(float64(now.Sub(f.at))/float64(r.Objective), maxSteps)
+	steps := min(float64(now.Sub(f.at))/float64(r.Objective), maxSteps)
 	if !f.lateSince.IsZero() && now.Sub(f.lateSince) >= r.Objective {
-		f.refused = min(f.refused+step, maxShare)
+		f.refused = min(f.refused+shareGrowth*steps, maxShare)
 	} else {
-		f.refused = max(f.refused-step, 0)
+		f.refused = max(f.refused-shareDecline*steps, 0)
 	}
 	f.at = now
 	return f.refused
--- a/internal/overload/share.go
+++ b/internal/overload/share.go
@@ -5,8 +5,9 @@
 	"time"
 )
 
-// While requests are refused, the less urgent ones are refused first. But no workspace and no
-// priority is starved: one that gets less than a part of the average share may wait longer.
+// Targets serve urgent requests first, so that the others wait longer and are refused first. Among
+// requests of one priority the rank decides. But no workspace and no class is starved: one that
+// gets less than a part of the average share may wait longer.
 
 const (
 	// shareHalfLife is the half-life of the requests that count for the shares.
@@ -15,10 +16,10 @@
 	starvedRatio = 0.5
 	// minOffered is the number of requests from which the share of a group is known.
 	minOffered = 4
-	// priorityStep is the ratio of the waits that two successive priorities may have. The
-	// difference is the room that is kept for the more urgent requests.
-	priorityStep = 0.8
-	// recentUse is how long after its latest request a more urgent priority counts.
+	// rankStep is the ratio of the waits that two successive ranks may have. The difference
+	// is the room that is kept for the lower rank.
+	rankStep = 0.8
+	// recentUse is how long after its latest request a rank counts.
 	recentUse = 2 * time.Second
 	// maxWorkspaces limits the workspaces that are tracked.
 	maxWorkspaces = 4096
@@ -44,23 +45,23 @@
 type shares struct {
 	all        share
 	workspaces map[string]*share
-	priorities map[int]*share
+	classes    map[class]*share
 }
 
 func (s *shares) record(now time.Time, r Request, admitted bool) {
-	if s.priorities == nil || len(s.workspaces) > maxWorkspaces {
-		s.workspaces, s.priorities = make(map[string]*share), make(map[int]*share)
+	if s.classes == nil || len(s.workspaces) > maxWorkspaces {
+		s.workspaces, s.classes = make(map[string]*share), make(map[class]*share)
 	}
 	if s.workspaces[r.Workspace] == nil {
 		s.workspaces[r.Workspace] = &share{}
 	}
-	if s.priorities[r.Priority] == nil {
-		s.priorities[r.Priority] = &share{}
+	if s.classes[r.class()] == nil {
+		s.classes[r.class()] = &share{}
 	}
 	s.all.record(now, admitted)
 	s.workspaces[r.Workspace].record(now, admitted)
-	s.priorities[r.Priority].record(now, admitted)
-	s.priorities[r.Priority].wait = allowedWait(r)
+	s.classes[r.class()].record(now, admitted)
+	s.classes[r.class()].wait = allowedWait(r)
 }
 
 // starves reports whether a group gets less than its part of the average share.
@@ -69,7 +70,7 @@
 }
 
 func (s *service) starves(r Request) bool {
-	return s.shares.starves(s.shares.workspaces[r.Workspace]) || s.shares.starves(s.shares.priorities[r.Priority])
+	return s.shares.starves(s.shares.workspaces[r.Workspace]) || s.shares.starves(s.shares.classes[r.class()])
 }
 
 // waitLimit returns the longest wait with which a request is admitted to a standing queue.
@@ -78,9 +79,9 @@
 	if s.starves(r) {
 		return r.Objective
 	}
-	for priority, g := range s.shares.priorities {
-		if priority < r.Priority && now.Sub(g.at) < recentUse {
-			limit = min(limit, time.Duration(priorityStep*float64(g.wait)))
+	for c, g := range s.shares.classes {
+		if c.priority == r.Priority && c.rank < r.Rank && now.Sub(g.at) < recentUse {
+			limit = min(limit, time.Duration(rankStep*float64(g.wait)))
 		}
 	}
 	return limit
--- a/internal/proxy/overload.go
+++ b/internal/proxy/overload.go
@@ -23,19 +23,10 @@
 // run.
 func (c *call) refusable() bool { return c.possibleRuns == 0 && !c.headersSent }
 
-// routePriorities is the number of priorities of routes that are told apart.
-const routePriorities = 10
-
-// sheddingPriority returns the order in which requests are refused. Among those that targets
-// serve with the same priority, because their workspaces have it, the route decides.
-func (c *call) sheddingPriority() int {
-	return c.priority()*routePriorities + min(max(c.route.Priority, 0), routePriorities-1)
-}
-
 func (c *call) overloadRequest() overload.Request {
 	waited := time.Since(c.started)
 	r := overload.Request{
-		Service: c.service, Priority: c.sheddingPriority(), Objective: c.route.Objective,
+		Service: c.service, Priority: c.priority(), Rank: c.route.Priority, Objective: c.route.Objective,
 		Patience: c.firstEventBy().Sub(c.started), Waited: waited, TimeLeft: c.callerLimit() - waited,
 	}
 	if c.workspace != nil {
