--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -227,7 +227,12 @@
 
 // New returns a Placer without targets.
 func New(zone, region string, clock func() time.Time) *Placer {
-	return &Placer{Region: region, Zone: zone, Clock: clock, random: rand.Float64, hintsReady: make(chan struct{}, 1)}
+	return NewWithRandom(zone, region, clock, rand.Float64)
+}
+
+// NewWithRandom is like New, with a source of random numbers from 0 to 1.
+func NewWithRandom(zone, region string, clock func() time.Time, random func() float64) *Placer {
+	return &Placer{Region: region, Zone: zone, Clock: clock, random: random, hintsReady: make(chan struct{}, 1)}
 }
 
 // Update replaces the registry. The state of targets that stay is kept.
