Tell the other fronts when the work of a request is withdrawn

A front gave back the backlog of a request that ended without an answer, but the other fronts, which had counted it since its hint, kept it. In an overload they expected up to twice the wait. A hint with the work and the priority now takes it back; one hint for each such request.

--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -67,6 +67,7 @@
 	now := p.Clock()
 	if !c.firstByteSeen && result != Completed {
 		m.addBacklog(now, c.priority, -c.workMS)
+		p.queueWithdrawnHint(c)
 	}
 	if !c.firstByteSeen && (result == Abandoned || result == Silent) {
 		if s := p.services[c.service]; s != nil {
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -144,6 +144,8 @@
 	priority       int
 	sentAt         time.Time
 	firstByteSeen  bool
+	// announced is set if the other VMs count the work of the request.
+	announced bool
 }
 
 // member is a target with the state that this VM tracks for it.
@@ -502,6 +504,7 @@
 		p.recordSave(now, m, partHashes(req.sharedParts()), c.insertedTokens)
 	}
 	if len(req.Parts) > 0 || m.admission.limited {
+		c.announced = true
 		p.queueChoiceHint(c, req.sharedParts())
 	}
 	if len(m.parts) > maxMemberParts {
--- a/internal/placement/statehints.go
+++ b/internal/placement/statehints.go
@@ -25,6 +25,24 @@
 	return uint32(d.Sum64())
 }
 
+// withdrawnKind is the kind of an entry about a request that ended without an answer, whose
+// work the target has not done. Its value is the work in milliseconds. The other kinds are
+// those of targetstate.Event.
+const withdrawnKind = 255
+
+// queueWithdrawnHint tells the other fronts that the work of an announced request is not
+// done any more.
+func (p *Placer) queueWithdrawnHint(c *Choice) {
+	if c.announced {
+		p.queueStateHint(c.member, withdrawnKind, c.priority, c.workMS)
+	}
+}
+
+func (p *Placer) queueStateHint(m *member, kind uint16, priority int, value float64) {
+	bits := Part{ID: uint64(math.Float32bits(float32(value)))}
+	p.enqueueEntry(stateHash(&m.Target), stateWork, kind, priority, []Part{bits}, false)
+}
+
 // queueStateHints queues hints about what has been learned of the targets of a service.
 func (p *Placer) queueStateHints(s *service) {
 	if s == nil {
@@ -33,8 +51,7 @@
 	for _, e := range s.group.TakeEvents() {
 		for _, m := range s.members {
 			if m.state == e.Target {
-				value := Part{ID: uint64(math.Float32bits(float32(e.Value)))}
-				p.enqueueEntry(stateHash(&m.Target), stateWork, uint16(e.Kind), 0, []Part{value}, false)
+				p.queueStateHint(m, uint16(e.Kind), 0, e.Value)
 			}
 		}
 	}
@@ -48,5 +65,10 @@
 	if len(values) != 1 || kind > math.MaxUint8 {
 		return
 	}
-	m.state.Apply(now, targetstate.Kind(kind), float64(math.Float32frombits(values[0])))
+	value := float64(math.Float32frombits(values[0]))
+	if kind != withdrawnKind {
+		m.state.Apply(now, targetstate.Kind(kind), value)
+	} else if value > 0 && value < stateWork {
+		m.addBacklog(now, int(entry[priorityOffset]), -value)
+	}
 }
--- a/internal/placement/statehints_test.go
+++ b/internal/placement/statehints_test.go
@@ -134,3 +134,29 @@
 		t.Errorf("urgent request is expected after %v, another one after %v, want at least 100ms more", first.Expected, second.Expected)
 	}
 }
+
+// Guards against work that the other fronts expect of an engine although its callers have
+// left, and against a malformed hint that changes the backlog.
+func TestWithdrawnWorkLeavesTheBacklogOfTheOtherFronts(t *testing.T) {
+	clock := newFakeClock()
+	fronts := []*Placer{newTestPlacer(clock, 1), newTestPlacer(clock, 1)}
+	state := fronts[1].services["model"].members[0].state
+	c := mustChoose(t, fronts[0], sharedPrompt(1, 1, 1))
+	exchangeHints(fronts)
+	if state.Backlog(clock.now, 0) < 100 {
+		t.Fatal("the other front does not know of the work")
+	}
+	for _, value := range []float64{math.NaN(), math.Inf(1), -1000} {
+		before := state.Backlog(clock.now, 0)
+		fronts[0].queueStateHint(c.member, withdrawnKind, 0, value)
+		exchangeHints(fronts)
+		if after := state.Backlog(clock.now, 0); after != before {
+			t.Errorf("withdrawn work of %v ms changes the backlog from %v to %v ms", value, before, after)
+		}
+	}
+	fronts[0].Done(c, Abandoned)
+	exchangeHints(fronts)
+	if left := state.Backlog(clock.now, 0); left > 2 {
+		t.Errorf("%v ms are left of withdrawn work", left)
+	}
+}
