--- a/internal/overload/silence.go
+++ b/internal/overload/silence.go
@@ -10,7 +10,7 @@
 	// silentObjectives is the part of the objective that a target may always be silent, and
 	// silentPatience the part of the time that the caller still waits after which no other
 	// target is tried.
-	silentObjectives = 1.0 / 3
+	silentObjectives = 0.5
 	silentPatience   = 0.5
 )
 
