--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -19,6 +20,7 @@
 	"github.com/cuminwing/cuminwing/internal/adapter/traffic"
 	"github.com/cuminwing/cuminwing/internal/fleet"
 	"github.com/cuminwing/cuminwing/internal/gatewayconfig"
+	"github.com/cuminwing/cuminwing/internal/overload"
 	"github.com/cuminwing/cuminwing/internal/pause"
 	"github.com/cuminwing/cuminwing/internal/placement"
 	"github.com/cuminwing/cuminwing/internal/proxy"
@@ -73,6 +75,7 @@
 	settings Settings
 	logger   *zap.Logger
 	decode   DocumentDecoder
+	overload *overload.Control
 	placer   *placement.Placer
 	// quarantine keeps requests that crash engines away from them.
 	quarantine *frontQuarantine
@@ -159,6 +162,7 @@
 	f := &Front{
 		settings: s, logger: options.Logger, decode: options.Decode,
 		placer:       placement.New(s.Zone, s.Region, time.Now),
+		overload:     overload.New(time.Now, rand.Float64),
 		peers:        newFrontPeers(),
 		staleWeights: newStaleWeightsFilter(s.Guarantees.StaleWeights - staleWeightsMargin),
 		shares:       ratelimit.NewShareLimiter(s.Guarantees.Quota),
@@ -180,9 +184,14 @@
 		Count: func(name string) { f.counters.Add("caller_"+name, 1) },
 	}
 	f.placer.OnNotice = f.logNotice
+	f.placer.OnFirstByte, f.placer.OnUnanswered = f.recordFirstByte, f.recordUnanswered
+	f.placer.Stopping = f.stop.stopping
 	for _, reason := range []placement.PassReason{placement.PassDraining, placement.PassPaused, placement.PassLimited} {
 		f.counters.Gauge("targets_passed_over_"+reason.String(), func() any { return f.placer.PassedOver(reason) })
 	}
+	for _, reason := range []overload.Reason{overload.BeyondPatience, overload.StandingQueue, overload.LateResponses, overload.Probe} {
+		f.counters.Gauge("overload_"+reason.String(), func() any { return f.overload.Count(reason) })
+	}
 	f.quarantine = newFrontQuarantine(f.pool.Probe, f.logger)
 	f.quarantine.leaves = f.placer.Leaves
 	f.counters.Gauge("connections_opened", func() any { return f.pool.OpenedConnections() })
@@ -192,6 +201,7 @@
 		Codec: options.Codec, State: f.servingState,
 		Placer: f.placer, Quarantine: f.quarantine, Quota: f.shares, Pool: f.pool, Logger: f.logger, BootClock: boottime.Now,
 		Memory:   bodyMemory(&s),
+		Overload: f.overload,
 		KeyLease: s.Guarantees.KeyRevocation - keyValidityMargin, DenialLease: s.Guarantees.DocumentDelay, StateExpected: f.stateExpected, Shutdown: f.stop, Observe: f.recordRequest,
 		Budget: &proxy.Budget{Ratio: s.Guarantees.RetryRatio, Slack: s.Guarantees.RetrySlack, Window: s.Guarantees.RetryWindow},
 	}
@@ -226,6 +236,18 @@
 	f.counters.Add("request_time_"+name+"_"+latencyBucket(took), 1)
 }
 
+// recordFirstByte counts a response by the expected and the actual time to its first byte.
+func (f *Front) recordFirstByte(expected, actual time.Duration) {
+	f.counters.Add("first_byte_expected_"+latencyBucket(expected)+"_actual_"+latencyBucket(actual), 1)
+}
+
+// recordUnanswered counts an attempt that ended without a first byte by the expected time
+// to it, and by cause.
+func (f *Front) recordUnanswered(expected time.Duration, cause placement.Cause) {
+	f.counters.Add("first_byte_expected_"+latencyBucket(expected)+"_actual_none", 1)
+	f.counters.Add("unanswered_"+cause.String(), 1)
+}
+
 // stateExpected reports whether the core is expected to respond soon, so that a
 // request should wait for a usable state.
 func (f *Front) stateExpected() bool {
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/cuminwing/cuminwing/internal/targetstate"
 )
 
 const (
@@ -20,10 +22,6 @@
 	// defaultCacheTokens is the memory, in tokens, assumed for engines whose
 	// memory is not known.
 	defaultCacheTokens = 80_000
-	// waitHalfLife is the half-life of an observed wait at a target.
-	waitHalfLife = 700 * time.Millisecond
-	// failureHalfLife is the half-life of a target's failure rate.
-	failureHalfLife = 4 * time.Second
 	// prefillTokensPerMS is the number of prompt tokens that an engine prefills
 	// per millisecond. Prefill proceeds in steps of prefillChunkTokens. Each
 	// step adds prefillStepMS, and each pair of a token and an earlier token
@@ -98,8 +96,15 @@
 	Weights uint64
 	// Priority is the priority with which the target runs the request; 0 is the highest.
 	Priority int
+	// Class names requests that targets answer alike, for example the route.
+	Class string
 	// Exclude lists the IDs of targets that have failed this request.
 	Exclude []string
+	// Bounds are the times beyond which a target is chosen only if there is no better one.
+	Bounds Bounds
+	// Accept is asked about the chosen target. If it reports false, the choice is returned
+	// with Refused set, and nothing is recorded. It must not call the Placer. It may be nil.
+	Accept func(c *Choice) bool
 }
 
 // sharedParts returns the parts that other requests may share.
@@ -127,18 +132,31 @@
 	// may be refused because of it.
 	Expected time.Duration
 	Certain  bool
+	// Limited is set if the target has named a limit of requests a second.
+	Limited bool
+	// Refused is set if Request.Accept has rejected the choice. Done must not be called.
+	Refused bool
+	// Belief is what was believed of the target.
+	Belief Belief
+	// Unanswered is set by Done if the request was sent and ended without a first byte.
+	Unanswered *Unanswered
 
-	member *member
+	member  *member
+	attempt *targetstate.Attempt
 	// workMS is the time that the engine needs to fetch and prefill the prompt.
 	workMS float64
+	// slowdown is how many times longer than that the target takes.
+	slowdown float64
 	// insertedTokens is the number of tokens that the request adds to the
 	// engine's memory.
 	insertedTokens float64
-	// includedWaitMS is the wait observed at earlier requests, which Expected
-	// includes.
-	includedWaitMS float64
+	expectation    targetstate.Expectation
+	service        string
+	priority       int
 	sentAt         time.Time
 	firstByteSeen  bool
+	// announced is set if the other VMs count the work of the request.
+	announced bool
 }
 
 // member is a target with the state that this VM tracks for it.
@@ -150,16 +168,9 @@
 	registryWeights uint64
 	// inflight counts the requests of this VM in flight.
 	inflight int
-	// backlogMS is the prefill work, from all VMs, that was left at backlogAt.
-	backlogMS float64
-	backlogAt time.Time
-	// waitMS is the observed wait beyond the expected time, as of waitAt.
-	waitMS float64
-	waitAt time.Time
-	// failureRate is the decayed fraction of failed requests, as of
-	// failureRateAt.
-	failureRate   float64
-	failureRateAt time.Time
+	state    *targetstate.Target
+	// ejected is set while the state says so, as of the latest choice of a home.
+	ejected bool
 	// down is set after a failed connection. A target that is down gets
 	// requests only if no other one is left.
 	down bool
@@ -177,6 +188,7 @@
 
 type service struct {
 	members []*member
+	group   *targetstate.Group
 	sizes   requestSizes
 }
 
@@ -189,6 +201,13 @@
 	// OnNotice is called when what this VM knows of the requests that a target accepts
 	// changes. It must not block or call the Placer. It may be nil.
 	OnNotice func(NoticeChange)
+	// OnFirstByte is called with the expected and the actual time to a first byte, and
+	// OnUnanswered with the cause if an attempt ends without one. They must not block or
+	// call the Placer. They may be nil.
+	OnFirstByte  func(expected, actual time.Duration)
+	OnUnanswered func(expected time.Duration, cause Cause)
+	// Stopping reports whether this VM stops. It may be nil.
+	Stopping func() bool
 	// random returns a random number from 0 to 1.
 	random func() float64
 
@@ -210,7 +229,12 @@
 
 // New returns a Placer without targets.
 func New(zone, region string, clock func() time.Time) *Placer {
-	return &Placer{Region: region, Zone: zone, Clock: clock, random: rand.Float64, hintsReady: make(chan struct{}, 1)}
+	return NewWithRandom(zone, region, clock, rand.Float64)
+}
+
+// NewWithRandom is like New, with a source of random numbers from 0 to 1.
+func NewWithRandom(zone, region string, clock func() time.Time, random func() float64) *Placer {
+	return &Placer{Region: region, Zone: zone, Clock: clock, random: random, hintsReady: make(chan struct{}, 1)}
 }
 
 // Update replaces the registry. The state of targets that stay is kept.
@@ -225,13 +249,17 @@
 				known[m.ID] = m
 			}
 		}
-		s := &service{}
+		s := &service{group: targetstate.NewGroup(p.random)}
 		if old := p.services[name]; old != nil {
-			s.sizes = old.sizes
+			s.sizes, s.group = old.sizes, old.group
 		}
-		for _, t := range list {
-			s.members = append(s.members, mergeMember(known[t.ID], t))
+		states := make([]*targetstate.Target, len(list))
+		for i, t := range list {
+			m := mergeMember(known[t.ID], t, s.group)
+			s.members = append(s.members, m)
+			states[i] = m.state
 		}
+		s.group.SetTargets(states)
 		next[name] = s
 	}
 	p.services = next
@@ -240,9 +268,12 @@
 
 // mergeMember applies a registry entry to the known member. The state is kept
 // if the incarnation is the same; new weights invalidate the cache.
-func mergeMember(m *member, t Target) *member {
+func mergeMember(m *member, t Target, g *targetstate.Group) *member {
 	if m == nil || m.Address != t.Address || m.Started != t.Started {
-		next := &member{Target: t, registryWeights: t.Weights, hash: xxhash.Sum64String(t.ID), parts: make(map[uint32]float64)}
+		next := &member{
+			Target: t, registryWeights: t.Weights, hash: xxhash.Sum64String(t.ID), parts: make(map[uint32]float64),
+			state: targetstate.NewTarget(g),
+		}
 		if m != nil && m.Address == t.Address {
 			next.admission.keepPause(&m.admission, time.UnixMilli(t.Started))
 		}
@@ -272,6 +303,9 @@
 		return nil, 0
 	}
 	now := p.Clock()
+	s.group.Processes = p.fleet().fronts
+	s.group.Review(now)
+	p.queueStateHints(s)
 	tokens := totalTokens(req.Parts)
 	s.sizes.record(now, tokens)
 	use := p.limitUseFor(s, now, tokens)
@@ -283,51 +317,66 @@
 	if best == nil {
 		best = p.cheapest(s, &req, now, use, true)
 	}
-	if best != nil {
-		p.recordChoice(best, &req, now)
+	if best == nil {
+		return nil, len(s.members)
+	}
+	best.Certain = best.member.state.Certain(now, req.Priority, req.Bounds.claimMS(best))
+	if best.Refused = req.Accept != nil && !req.Accept(best); !best.Refused {
+		p.recordChoice(s, best, &req, now)
 	}
 	return best, len(s.members)
 }
 
 // cheapest returns a Choice of the member with the lowest cost. Members that are
-// down are considered only if includeDown is set, and members with a limit only as far as
+// down or ejected are considered only if includeDown is set, and members with a limit only as far as
 // use allows.
 func (p *Placer) cheapest(s *service, req *Request, now time.Time, use limitUse, includeDown bool) *Choice {
 	home := p.homeFor(s, req, now)
 	holders := s.holdersByZone(req)
-	var best *Choice
+	var best, c Choice
 	bestCost, bestLoad := math.Inf(1), 0.0
 	for _, m := range s.members {
-		if !eligible(m, req, includeDown) || !p.admits(m, now) || !use.allows(m, now, p.fleet()) {
+		if !eligible(m, req, now, includeDown) || !p.admits(m, now) || !use.allows(m, now, p.fleet()) {
 			continue
 		}
-		c := p.evaluate(m, home, holders, req, now)
-		cost := p.roundTripMS(m) + c.workMS + m.currentWait(now) + m.currentBacklog(now) + m.currentFailureRate(now)*failurePenaltyMS
+		p.evaluate(&c, m, home, holders, req, now)
+		c.expectation = m.state.Expect(now, p.work(&c, req))
+		c.Expected = time.Duration(c.expectation.MS * float64(time.Millisecond))
+		c.slowdown = m.state.Slowdown(now)
+		cost := c.expectation.MS + m.state.FailureRate(now)*failurePenaltyMS
 		if req.Weights > m.Weights && m.Weights > 0 {
 			cost += staleWeightsPenaltyMS
 		}
-		c.Expected = time.Duration((cost - m.currentFailureRate(now)*failurePenaltyMS) * float64(time.Millisecond))
-		cost += use.delayToOthers(m, c.workMS)
+		cost += use.delayToOthers(m, c.workMS) + req.Bounds.penaltyMS(&c)
 		if c.Home {
-			cost -= homeDiscount * float64(totalTokens(req.sharedParts())) / prefillTokensPerMS
+			cost -= homeDiscount * s.group.Slowdown() * float64(totalTokens(req.sharedParts())) / prefillTokensPerMS
 		}
 		load := float64(m.inflight)*inflightPenaltyMS + p.random()
 		if cost < bestCost-tieThresholdMS || cost < bestCost+tieThresholdMS && load < bestLoad {
 			best, bestCost, bestLoad = c, cost, load
 		}
 	}
-	return best
+	if best.member == nil {
+		return nil
+	}
+	chosen := best
+	chosen.Target = best.member.Target
+	if best.FetchFrom != nil {
+		source := *best.FetchFrom
+		chosen.FetchFrom = &source
+	}
+	return &chosen
 }
 
-// evaluate returns a Choice of m with the work that the request causes there.
-func (p *Placer) evaluate(m, home *member, holders []cacheHolder, req *Request, now time.Time) *Choice {
+// evaluate sets c to a choice of m, but for its Target, with the work that the request
+// causes there. FetchFrom points to the state of the Placer.
+func (p *Placer) evaluate(c *Choice, m, home *member, holders []cacheHolder, req *Request, now time.Time) {
 	cached := m.cachedTokens(req)
-	c := &Choice{Target: m.Target, CachedTokens: cached, Home: m == home, member: m}
+	*c = Choice{CachedTokens: cached, Home: m == home, Limited: m.admission.limited, member: m}
 	fetchedTokens, fetchMS := p.planTransfers(c, holders, req, now)
 	all := totalTokens(req.Parts)
 	c.insertedTokens = float64(all - cached)
 	c.workMS = prefillMS(all-cached-fetchedTokens, cached+fetchedTokens) + fetchMS
-	return c
 }
 
 // prefillMS returns the time that an engine needs to prefill new tokens after
@@ -408,9 +457,18 @@
 // the latency objective.
 const staleWeightsPenaltyMS = 120.0
 
-// eligible reports whether the request can be placed at m.
-func eligible(m *member, req *Request, includeDown bool) bool {
-	if m.Excluded || m.down && !includeDown {
+// work returns the request of a choice as far as it matters for the time that the target
+// needs. The time for a request without a prompt does not follow from its size.
+func (p *Placer) work(c *Choice, req *Request) targetstate.Work {
+	return targetstate.Work{
+		Class: req.Class, Priority: req.Priority, WorkMS: c.workMS, RoundTripMS: p.roundTripMS(c.member), Known: len(req.Parts) > 0,
+	}
+}
+
+// eligible reports whether the request can be placed at m. Targets that are down or ejected
+// are not, unless includeDown is set.
+func eligible(m *member, req *Request, now time.Time, includeDown bool) bool {
+	if m.Excluded || !includeDown && (m.down || !m.state.Usable(now)) {
 		return false
 	}
 	for _, id := range req.Exclude {
@@ -452,13 +510,15 @@
 
 // recordChoice updates the state of the chosen member and queues a hint for the
 // other fronts.
-func (p *Placer) recordChoice(c *Choice, req *Request, now time.Time) {
+func (p *Placer) recordChoice(s *service, c *Choice, req *Request, now time.Time) {
 	c.sentAt = now
 	m := c.member
 	m.admission.take(now, p.fleet())
-	c.includedWaitMS = m.currentWait(now)
+	c.Belief = m.belief(now)
+	c.service, c.priority = req.Service, req.Priority
+	c.attempt = m.state.Send(now, p.work(c, req), c.expectation)
 	m.inflight++
-	m.addBacklog(now, c.workMS)
+	m.addBacklog(now, c.priority, c.workMS)
 	m.insertTokens(now, c.insertedTokens)
 	p.uses.record(now, partHashes(req.sharedParts()))
 	for _, part := range req.Parts {
@@ -468,6 +528,7 @@
 		p.recordSave(now, m, partHashes(req.sharedParts()), c.insertedTokens)
 	}
 	if len(req.Parts) > 0 || m.admission.limited {
+		c.announced = true
 		p.queueChoiceHint(c, req.sharedParts())
 	}
 	if len(m.parts) > maxMemberParts {
