Track what engines hold in the order of the last use

Cause: a front took a part for evicted once 0.8 of an engine's memory had been inserted after its last use. That counts no part that is used again in between, so evicted parts still counted as held, and it counted a part as a source for other engines while its engine was still prefilling it, so the fetch missed and both engines prefilled it. For stores it counted what they held already as inserted, and what had been saved more than 30 s ago as lost.

Change: each front keeps the parts of an engine and of a store in the order of their last use, with sizes from its own requests. A part is a source for others from the time at which its prefill is expected to end. A store keeps parts that were saved long ago, until others replace them; they are saved again as before.

The tests of the sources and of the uses name the new fields; what they check is the same.

--- a/internal/placement/fetchsource_test.go
+++ b/internal/placement/fetchsource_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 )
 
 // randomService returns a service with engines in three zones of two regions that hold
@@ -19,9 +20,9 @@
 		m := &member{Target: Target{
 			ID: fmt.Sprint(n), Zone: fmt.Sprint("z", zone), Region: fmt.Sprint("r", zone/2), Weights: uint64(random.IntN(3)),
 			Terminating: random.IntN(10) == 0,
-		}, down: random.IntN(10) == 0, parts: make(map[uint32]float64)}
+		}, down: random.IntN(10) == 0}
 		for part := range random.IntN(len(req.Parts) + 1) {
-			m.parts[uint32(part+1)] = 0
+			m.held.use(uint32(part+1), 0, time.Time{})
 		}
 		s.members = append(s.members, m)
 	}
@@ -52,7 +53,7 @@
 	random := rand.New(rand.NewPCG(1, 1))
 	for range 500 {
 		s, req := randomService(random, 1+random.IntN(40))
-		holders := s.holdersByZone(req)
+		holders := s.holdersByZone(req, time.Now())
 		for _, m := range s.members {
 			cached := m.cachedTokens(req)
 			got := 0.0
@@ -72,11 +73,11 @@
 		s, req := randomService(rand.New(rand.NewPCG(1, 1)), engines)
 		for _, m := range s.members {
 			for _, part := range req.Parts {
-				m.parts[uint32(part.ID)] = 0
+				m.held.use(uint32(part.ID), 0, time.Time{})
 			}
 		}
 		const zones, versions = 3, 2
-		if n := len(s.holdersByZone(req)); n > zones*versions {
+		if n := len(s.holdersByZone(req, time.Now())); n > zones*versions {
 			t.Errorf("%d sources are compared for each of %d engines, want at most %d", n, engines, zones*versions)
 		}
 	}
--- a/internal/placement/hints.go
+++ b/internal/placement/hints.go
@@ -154,13 +154,13 @@
 	m.admission.recordOther(now)
 	m.addBacklog(now, float64(work))
 	prefilled := blockTokens * float64(binary.LittleEndian.Uint16(entry[6:]))
-	parts := decodeParts(entry[entryHeaderBytes:])
-	m.insertTokens(now, prefilled)
-	p.uses.record(now, parts)
-	m.recordParts(parts)
-	if entry[entryHeaderBytes-1]&savedFlag != 0 {
-		p.recordSave(now, m, parts, prefilled)
+	parts := p.uses.sized(decodeParts(entry[entryHeaderBytes:]))
+	ready := now.Add(time.Duration((m.currentBacklog(now) + m.currentWait(now)) * float64(time.Millisecond)))
+	saves := entry[entryHeaderBytes-1]&savedFlag != 0
+	if added := m.recordPrompt(now, ready, parts, nil, prefilled); added || saves {
+		p.recordStoreUse(now, ready, m, parts, prefilled, saves)
 	}
+	p.uses.record(now, parts)
 }
 
 // applyNotice applies a notice that another front has passed on. One that is malformed
@@ -197,24 +197,6 @@
 	return parts
 }
 
-// partHashes returns the 32-bit hashes by which entries identify parts.
-func partHashes(parts []Part) []uint32 {
-	list := make([]uint32, len(parts))
-	for i, part := range parts {
-		list[i] = uint32(part.ID)
-	}
-	return list
-}
-
-func (m *member) recordParts(parts []uint32) {
-	for _, part := range parts {
-		m.parts[part] = m.insertedTokens
-	}
-	if len(m.parts) > maxMemberParts {
-		m.evictParts()
-	}
-}
-
 // rebuildEngineIndex rebuilds the map from engine hashes to members.
 func (p *Placer) rebuildEngineIndex() {
 	p.enginesByHash = make(map[uint32]*member)
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -151,7 +151,7 @@
 	defer p.mu.Unlock()
 	if c.member.Weights != version {
 		c.member.Weights = version
-		clear(c.member.parts)
+		c.member.held = holding{}
 		p.rebuildEngineIndex()
 	}
 }
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -14,12 +14,6 @@
 )
 
 const (
-	// cacheFraction is the fraction of an engine's memory that holds cached
-	// parts; running requests use the rest.
-	cacheFraction = 0.8
-	// defaultCacheTokens is the memory, in tokens, assumed for engines whose
-	// memory is not known.
-	defaultCacheTokens = 80_000
 	// waitHalfLife is the half-life of an observed wait at a target.
 	waitHalfLife = 700 * time.Millisecond
 	// failureHalfLife is the half-life of a target's failure rate.
@@ -163,13 +157,9 @@
 	// down is set after a failed connection. A target that is down gets
 	// requests only if no other one is left.
 	down bool
-	// insertedTokens is the number of tokens that requests of all VMs have
-	// added to the engine's memory, and parts maps the hash of a part to that
-	// number at the part's last use. The least recently used parts are evicted
-	// first.
-	insertedTokens float64
-	parts          map[uint32]float64
-	// insertion is how fast insertedTokens grows.
+	// held is what the engine has in memory.
+	held holding
+	// insertion is how fast prompts of all VMs add tokens to the engine's memory.
 	insertion decayingRate
 	// admission is what the target has said about the requests that it accepts.
 	admission admission
@@ -242,7 +232,7 @@
 // if the incarnation is the same; new weights invalidate the cache.
 func mergeMember(m *member, t Target) *member {
 	if m == nil || m.Address != t.Address || m.Started != t.Started {
-		return &member{Target: t, registryWeights: t.Weights, hash: xxhash.Sum64String(t.ID), parts: make(map[uint32]float64)}
+		return &member{Target: t, registryWeights: t.Weights, hash: xxhash.Sum64String(t.ID)}
 	}
 	weights := m.Weights
 	if t.Weights != m.registryWeights {
@@ -251,7 +241,7 @@
 	}
 	m.registryWeights, t.Weights = t.Weights, weights
 	if m.Weights != weights {
-		m.parts = make(map[uint32]float64)
+		m.held = holding{}
 	}
 	m.Target = t
 	return m
@@ -290,7 +280,7 @@
 // use allows.
 func (p *Placer) cheapest(s *service, req *Request, now time.Time, use limitUse, includeDown bool) *Choice {
 	home := p.homeFor(s, req, now)
-	holders := s.holdersByZone(req)
+	holders := s.holdersByZone(req, now)
 	var best *Choice
 	bestCost, bestLoad := math.Inf(1), 0.0
 	for _, m := range s.members {
@@ -347,7 +337,7 @@
 // that hold most in each zone, for each version of the weights. Within a zone all members
 // are reached at the same cost, so that no other one is a better source. The work grows
 // with the number of members, and not with its square.
-func (s *service) holdersByZone(req *Request) []cacheHolder {
+func (s *service) holdersByZone(req *Request, now time.Time) []cacheHolder {
 	var holders []cacheHolder
 	if len(req.Parts) == 0 {
 		return nil
@@ -356,7 +346,7 @@
 		if m.Weights == 0 || m.Terminating || m.down {
 			continue
 		}
-		tokens := m.cachedTokens(req)
+		tokens := m.fetchableTokens(req, now)
 		if tokens < minFetchTokens {
 			continue
 		}
@@ -455,18 +445,13 @@
 	c.includedWaitMS = m.currentWait(now)
 	m.inflight++
 	m.addBacklog(now, c.workMS)
-	m.insertTokens(now, c.insertedTokens)
-	p.uses.record(now, partHashes(req.sharedParts()))
-	for _, part := range req.Parts {
-		m.parts[uint32(part.ID)] = m.insertedTokens
-	}
-	if c.SaveTo != "" {
-		p.recordSave(now, m, partHashes(req.sharedParts()), c.insertedTokens)
+	ready := now.Add(c.Expected)
+	shared, saves := req.sharedParts(), c.SaveTo != ""
+	if added := m.recordPrompt(now, ready, shared, req.Parts[len(shared):], c.insertedTokens); added || saves {
+		p.recordStoreUse(now, ready, m, shared, c.insertedTokens, saves)
 	}
+	p.uses.record(now, shared)
 	if len(req.Parts) > 0 || m.admission.limited {
-		p.queueChoiceHint(c, req.sharedParts())
-	}
-	if len(m.parts) > maxMemberParts {
-		m.evictParts()
+		p.queueChoiceHint(c, shared)
 	}
 }
--- a/internal/placement/store.go
+++ b/internal/placement/store.go
@@ -26,16 +26,7 @@
 type store struct {
 	Store
 	hash uint64
-	// insertedTokens is the total number of tokens saved to the store.
-	insertedTokens float64
-	parts          map[uint64]savedPart
-}
-
-// savedPart is the latest save of a part.
-type savedPart struct {
-	// insertedTokens is the store's total at the time of the save.
-	insertedTokens float64
-	savedAt        time.Time
+	held holding
 }
 
 const (
@@ -63,7 +54,7 @@
 	for _, s := range list {
 		next := known[s.Address]
 		if next == nil {
-			next = &store{hash: xxhash.Sum64String(s.Address), parts: make(map[uint64]savedPart)}
+			next = &store{hash: xxhash.Sum64String(s.Address)}
 		}
 		next.Store = s
 		p.stores = append(p.stores, next)
@@ -94,15 +85,16 @@
 }
 
 // storeKey identifies a part computed with the given weights.
-func storeKey(part uint32, weights uint64) uint64 { return mix64(uint64(part) ^ mix64(weights)) }
+func storeKey(part, weights uint64) uint32 {
+	return uint32(mix64(uint64(uint32(part)) ^ mix64(weights)))
+}
 
-// heldTokens returns the number of leading tokens of the parts that the store
-// is believed to hold.
+// heldTokens returns the number of leading tokens of the parts that can be
+// fetched from the store at now.
 func (s *store) heldTokens(now time.Time, parts []Part, weights uint64) int {
 	sum := 0
 	for _, part := range parts {
-		saved, ok := s.parts[storeKey(uint32(part.ID), weights)]
-		if !ok || s.mayBeEvicted(now, saved) {
+		if !s.held.hasReady(storeKey(part.ID, weights), now) {
 			break
 		}
 		sum += part.Tokens
@@ -110,35 +102,41 @@
 	return sum
 }
 
-// mayBeEvicted reports whether the store has possibly lost a part, by eviction
-// or by a restart.
-func (s *store) mayBeEvicted(now time.Time, p savedPart) bool {
-	return now.Sub(p.savedAt) > resaveAge || s.insertedTokens-p.insertedTokens > cacheFraction*float64(s.CapacityTokens)
+// lacks reports whether an engine that has the parts should save them: the store does not
+// hold one of them, or has possibly lost it by a restart.
+func (s *store) lacks(now time.Time, parts []Part, weights uint64) bool {
+	return slices.ContainsFunc(parts, func(part Part) bool {
+		saved, held := s.held.readySince(storeKey(part.ID, weights))
+		return !held || now.Sub(saved) > resaveAge
+	})
 }
 
-// recordSave records that an engine saves the parts of a prompt, of which it
-// prefills the given number of tokens.
-func (s *store) recordSave(now time.Time, parts []uint32, weights uint64, prefilled float64) {
-	s.insertedTokens += prefilled
-	for _, part := range parts {
-		s.parts[storeKey(part, weights)] = savedPart{s.insertedTokens, now}
+// recordSave records that an engine saves the parts of a prompt, of which it prefills the
+// given number of tokens. The store has them when they are ready.
+func (s *store) recordSave(now, ready time.Time, parts []Part, weights uint64, prefilled float64) {
+	added := false
+	for _, part := range slices.Backward(parts) {
+		key, size := storeKey(part.ID, weights), float64(part.Tokens)
+		if s.held.use(key, size, ready) {
+			added = true
+			prefilled -= size
+		} else {
+			s.held.renew(key, now)
+		}
 	}
-	if len(s.parts) > maxStoreParts {
-		s.evictParts(now)
+	if added {
+		s.held.useUnknown(prefilled)
 	}
+	s.held.evict(float64(s.CapacityTokens), maxStoreParts)
 }
 
-// evictParts removes the parts that the store has possibly lost, or all of them
-// if too many are left.
-func (s *store) evictParts(now time.Time) {
-	for key, saved := range s.parts {
-		if s.mayBeEvicted(now, saved) {
-			delete(s.parts, key)
+// recordFetch records that an engine fetches those of the parts that the store holds.
+func (s *store) recordFetch(parts []Part, weights uint64) {
+	for _, part := range slices.Backward(parts) {
+		if key := storeKey(part.ID, weights); s.held.has(key) {
+			s.held.use(key, float64(part.Tokens), time.Time{})
 		}
 	}
-	if len(s.parts) > maxStoreParts {
-		clear(s.parts)
-	}
 }
 
 // transferMSPerToken returns the transfer time per token to an engine of the
@@ -150,14 +148,19 @@
 	return crossZoneFactor * s.TransferMSPerToken
 }
 
-// recordSave records, at the store of the prompt, that the prompt was placed at
-// an engine that saves its shared parts.
-func (p *Placer) recordSave(now time.Time, m *member, shared []uint32, prefilled float64) {
+// recordStoreUse records, at the store of a prompt, that the prompt was placed at an engine
+// that did not hold all of its shared parts.
+func (p *Placer) recordStoreUse(now, ready time.Time, m *member, shared []Part, prefilled float64, saves bool) {
 	if len(shared) == 0 {
 		return
 	}
-	if s := p.storeFor(m, shared[len(shared)-1]); s != nil {
-		s.recordSave(now, shared, m.Weights, prefilled)
+	s := p.storeFor(m, uint32(shared[len(shared)-1].ID))
+	switch {
+	case s == nil:
+	case saves:
+		s.recordSave(now, ready, shared, m.Weights, prefilled)
+	default:
+		s.recordFetch(shared, m.Weights)
 	}
 }
 
@@ -182,7 +185,7 @@
 		return tokens, fetchMS
 	}
 	held := store.heldTokens(now, shared, m.Weights)
-	if held < size {
+	if store.lacks(now, shared, m.Weights) {
 		c.SaveTo = store.Address
 	}
 	more := held - cached
--- a/internal/placement/uses.go
+++ b/internal/placement/uses.go
@@ -37,15 +37,11 @@
 	return decay(r.sum, now.Sub(r.at), insertionHalfLife) * math.Ln2 / insertionHalfLife.Seconds()
 }
 
-// insertTokens records tokens that a request adds to the engine's memory.
-func (m *member) insertTokens(now time.Time, tokens float64) {
-	m.insertedTokens += tokens
-	m.insertion.add(now, tokens)
-}
-
 // partUse is how often a shared part is used by the requests of all VMs.
 type partUse struct {
-	last time.Time
+	// tokens is the size of the part; 0 if no request of this VM has named it.
+	tokens int
+	last   time.Time
 	// interval is the mean time between two uses; 0 before the second one.
 	interval time.Duration
 }
@@ -53,12 +49,13 @@
 // partUses tracks the uses of the shared parts of prompts.
 type partUses struct{ parts map[uint32]partUse }
 
-func (u *partUses) record(now time.Time, parts []uint32) {
+func (u *partUses) record(now time.Time, parts []Part) {
 	if u.parts == nil {
 		u.parts = make(map[uint32]partUse)
 	}
 	for _, part := range parts {
-		use, known := u.parts[part]
+		use, known := u.parts[uint32(part.ID)]
+		use.tokens = max(use.tokens, part.Tokens)
 		gap := now.Sub(use.last)
 		switch {
 		case !known:
@@ -68,13 +65,22 @@
 			use.interval += time.Duration(intervalSmoothing * float64(gap-use.interval))
 		}
 		use.last = now
-		u.parts[part] = use
+		u.parts[uint32(part.ID)] = use
 	}
 	if len(u.parts) > maxTrackedUses {
 		u.expire(now)
 	}
 }
 
+// sized returns parts with their sizes as far as they are known.
+func (u *partUses) sized(hashes []uint32) []Part {
+	parts := make([]Part, len(hashes))
+	for i, hash := range hashes {
+		parts[i] = Part{ID: uint64(hash), Tokens: u.parts[hash].tokens}
+	}
+	return parts
+}
+
 // expire forgets the parts that are no longer used, or all of them if too many are left.
 func (u *partUses) expire(now time.Time) {
 	for part, use := range u.parts {
--- a/internal/placement/uses_test.go
+++ b/internal/placement/uses_test.go
@@ -114,7 +114,7 @@
 	var uses partUses
 	now := time.Unix(1000, 0)
 	for i := range uint32(3 * maxTrackedUses) {
-		uses.record(now, []uint32{i})
+		uses.record(now, []Part{{ID: uint64(i)}})
 	}
 	if n := len(uses.parts); n > maxTrackedUses+1 {
 		t.Errorf("%d parts are tracked", n)
