Price shared parts that are read again, copied or not saved

The shared parts fit the memories twice, but unique parts and copies of shared ones fill them every 5 to 8 s, and the first reading of a part, at an engine without a store in its region, was saved nowhere.

Change: large shared parts have their home beside a store from their first use. The discount for the home falls from 0.8 to 0.25, as the price of copies does most of its work.

--- a/internal/placement/holding.go
+++ b/internal/placement/holding.go
@@ -8,7 +8,7 @@
 const (
 	// cacheFraction is the fraction of an engine's memory that holds prompts. Generated
 	// tokens, which no front knows in advance, use the rest.
-	cacheFraction = 0.95
+	cacheFraction = 0.9
 	// defaultCacheTokens is the memory, in tokens, assumed for engines whose
 	// memory is not known.
 	defaultCacheTokens = 80_000
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -46,7 +46,7 @@
 	// the prefill time of its shared parts. It keeps prompts with the same
 	// shared parts together, so that these are cached once rather than on many
 	// engines.
-	homeDiscount = 0.8
+	homeDiscount = 0.25
 	// inflightPenaltyMS is the load that each request of this VM in flight at a
 	// target adds in the choice between targets of equal cost, in milliseconds.
 	inflightPenaltyMS = 2.0
@@ -125,6 +125,10 @@
 	member *member
 	// workMS is the time that the engine needs to fetch and prefill the prompt.
 	workMS float64
+	// fetchedTokens is the number of tokens that the engine is expected to fetch.
+	fetchedTokens int
+	// costMS is the cost of the choice without prices and preferences.
+	costMS float64
 	// insertedTokens is the number of tokens that the request adds to the
 	// engine's memory.
 	insertedTokens float64
@@ -281,7 +285,7 @@
 func (p *Placer) cheapest(s *service, req *Request, now time.Time, use limitUse, includeDown bool) *Choice {
 	home := p.homeFor(s, req, now)
 	holders := s.holdersByZone(req, now)
-	var best *Choice
+	var best, fastest *Choice
 	bestCost, bestLoad := math.Inf(1), 0.0
 	for _, m := range s.members {
 		if !eligible(m, req, includeDown) || !p.admits(m, now) || !use.allows(m, now, p.fleet()) {
@@ -294,6 +298,11 @@
 		}
 		c.Expected = time.Duration((cost - m.currentFailureRate(now)*failurePenaltyMS) * float64(time.Millisecond))
 		cost += use.delayToOthers(m, c.workMS)
+		c.costMS = cost
+		if fastest == nil || cost < fastest.costMS {
+			fastest = c
+		}
+		cost += p.reusePriceMS(c, holders, req, now)
 		if c.Home {
 			cost -= homeDiscount * float64(totalTokens(req.sharedParts())) / prefillTokensPerMS
 		}
@@ -302,6 +311,9 @@
 			best, bestCost, bestLoad = c, cost, load
 		}
 	}
+	if best != nil && best.costMS > fastest.costMS+maxReuseWaitMS {
+		return fastest
+	}
 	return best
 }
 
@@ -309,10 +321,11 @@
 func (p *Placer) evaluate(m, home *member, holders []cacheHolder, req *Request, now time.Time) *Choice {
 	cached := m.cachedTokens(req)
 	c := &Choice{Target: m.Target, CachedTokens: cached, Home: m == home, member: m}
-	fetchedTokens, fetchMS := p.planTransfers(c, holders, req, now)
+	fetched, fetchMS := p.planTransfers(c, holders, req, now)
+	c.fetchedTokens = fetched
 	all := totalTokens(req.Parts)
 	c.insertedTokens = float64(all - cached)
-	c.workMS = prefillMS(all-cached-fetchedTokens, cached+fetchedTokens) + fetchMS
+	c.workMS = prefillMS(all-cached-fetched, cached+fetched) + fetchMS
 	return c
 }
 
--- a/internal/placement/uses.go
+++ b/internal/placement/uses.go
@@ -94,13 +94,17 @@
 }
 
 // survive reports whether engines of the service keep the shared parts of a prompt from one
-// use to the next, at the rate at which tokens are inserted into their memories now. Parts
-// that were used only once, and small ones, count as kept.
+// use to the next, at the rate at which tokens are inserted into their memories now. Small
+// parts count as kept. Parts that were used only once do not: until more is known of them, a
+// store should get them.
 func (u *partUses) survive(s *service, shared []Part, now time.Time) bool {
-	interval := u.parts[uint32(shared[len(shared)-1].ID)].interval
-	if interval == 0 || totalTokens(shared) < minBackedTokens {
+	if totalTokens(shared) < minBackedTokens {
 		return true
 	}
+	interval := u.parts[uint32(shared[len(shared)-1].ID)].interval
+	if interval == 0 {
+		return false
+	}
 	memory, rate := 0.0, 0.0
 	for _, m := range s.members {
 		memory += m.cacheBudget()
