Send a request when its engine has prefilled its shared parts

Cause: an engine looks up which parts it holds when it admits a request. A request that joined the engine that was just prefilling its shared parts came too early and had them prefilled a second time.

Change: a choice says how long to wait until the engine is expected to have the parts, at most 300 ms. The front waits before it sends the request, which would wait in the queue of the engine otherwise.

The new tests cannot be built without the field SendDelay.

--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -121,6 +121,9 @@
 	// may be refused because of it.
 	Expected time.Duration
 	Certain  bool
+	// SendDelay is how long the request should wait before it is sent, so that the target
+	// has the parts that it is prefilling. Expected includes it.
+	SendDelay time.Duration
 
 	member *member
 	// workMS is the time that the engine needs to fetch and prefill the prompt.
@@ -454,6 +457,8 @@
 func (p *Placer) recordChoice(c *Choice, req *Request, now time.Time) {
 	c.sentAt = now
 	m := c.member
+	c.SendDelay = p.sendDelay(m, req, now)
+	c.Expected = max(c.Expected, c.SendDelay)
 	m.admission.take(now, p.fleet())
 	c.includedWaitMS = m.currentWait(now)
 	m.inflight++
--- a/internal/placement/reuse.go
+++ b/internal/placement/reuse.go
@@ -69,3 +69,29 @@
 	}
 	return most
 }
+
+// maxSendDelay limits SendDelay. A request that waits longer at this VM would lose its place
+// in the queue of the engine.
+const maxSendDelay = 300 * time.Millisecond
+
+// sendDelay returns how long a request should wait before it is sent to the chosen member, so
+// that it arrives when the member has prefilled the shared parts that an earlier request made
+// it prefill. If it came sooner, the engine would prefill these parts again.
+func (p *Placer) sendDelay(m *member, req *Request, now time.Time) time.Duration {
+	var ready time.Time
+	for _, part := range req.sharedParts() {
+		at, held := m.held.readySince(uint32(part.ID))
+		if !held {
+			break
+		}
+		if at.After(ready) {
+			ready = at
+		}
+	}
+	way := time.Duration(p.roundTripMS(m) / 2 * float64(time.Millisecond))
+	delay := ready.Sub(now) - way
+	if ready.IsZero() || delay < 0 || delay > maxSendDelay {
+		return 0
+	}
+	return delay
+}
--- a/internal/placement/reuse_test.go
+++ b/internal/placement/reuse_test.go
@@ -67,6 +67,29 @@
 	}
 }
 
+// Guards against a request that reaches an engine while this one still prefills the shared
+// parts for an earlier request, so that it prefills them twice.
+func TestRequestsArriveWhenTheirPartsArePrefilled(t *testing.T) {
+	clock := newFakeClock()
+	p := newTestPlacer(clock, 1)
+	first := mustChoose(t, p, sharedPrompt(1, 1, 1))
+	if first.SendDelay != 0 {
+		t.Errorf("the first request is delayed by %v", first.SendDelay)
+	}
+	clock.advance(50 * time.Millisecond)
+	second := mustChoose(t, p, sharedPrompt(1, 1, 2))
+	if arrives := 50*time.Millisecond + second.SendDelay; arrives > first.Expected || arrives < first.Expected-time.Millisecond {
+		t.Errorf("the second request arrives %v after the first, which is prefilled after %v", arrives, first.Expected)
+	}
+	if second.Expected < second.SendDelay {
+		t.Errorf("a response is expected after %v, although the request is sent after %v", second.Expected, second.SendDelay)
+	}
+	clock.advance(time.Second)
+	if third := mustChoose(t, p, sharedPrompt(1, 1, 3)); third.SendDelay != 0 {
+		t.Errorf("a request is delayed by %v although its parts are prefilled", third.SendDelay)
+	}
+}
+
 // Guards against parts whose first engine has no store in its region although another one
 // has, so that they are lost when that engine evicts them.
 func TestNewPartsAreReadBesideAStore(t *testing.T) {
--- a/internal/placement/reusebed_test.go
+++ b/internal/placement/reusebed_test.go
@@ -144,9 +144,9 @@
 	workMS           float64
 	// held and reserved are the tokens of the prompt that the engine need not read, and that
 	// are not in its memory, when the request is admitted.
-	held, reserved       int
-	prefillMS, startedAt float64
-	firstByte, done      func()
+	held, reserved                int
+	prefillMS, startedAt, delayMS float64
+	firstByte, done               func()
 }
 
 type bedEvent struct {
@@ -237,7 +237,7 @@
 		}
 		b.after(at, func() {
 			choose(r)
-			b.send(r)
+			b.after(r.delayMS, func() { b.send(r) })
 		})
 	}
 }
@@ -374,6 +374,7 @@
 	p := b.fronts[r.front]
 	c, _ := p.Choose(r.Request)
 	r.engine, r.saves = b.engines[c.Target.ID], c.SaveTo != ""
+	r.delayMS = float64(c.SendDelay) / float64(time.Millisecond)
 	r.firstByte = func() { p.RecordFirstByte(c) }
 	r.done = func() { p.Done(c, Completed) }
 	if from := c.FetchFrom; from != nil {
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -243,6 +243,9 @@
 		}
 		c.attempts++
 		c.targetID = choice.Target.ID
+		if choice.SendDelay > 0 {
+			c.sleep(choice.SendDelay)
+		}
 		c.beginAttempt(choice)
 		result := c.send(ctx, choice)
 		c.Placer.Done(choice, result.placement())
