Count shared tokens that are read again by cause

Change: gauges shared_tokens_read_again_evicted, _passed_over, _in_progress and _retry count, at the choice of a target, the tokens of shared parts that an engine is expected to read although requests have used them before. A front can't tell the other causes: what an engine has evicted without its knowledge, and fetches that miss.

--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -172,6 +172,9 @@
 	for _, reason := range []placement.PassReason{placement.PassDraining, placement.PassPaused, placement.PassLimited} {
 		f.counters.Gauge("targets_passed_over_"+reason.String(), func() any { return f.placer.PassedOver(reason) })
 	}
+	for _, cause := range placement.RereadCauses {
+		f.counters.Gauge("shared_tokens_read_again_"+cause.String(), func() any { return f.placer.RereadTokens(cause) })
+	}
 	f.quarantine = newFrontQuarantine(f.pool.Probe, f.logger)
 	f.quarantine.leaves = f.placer.Leaves
 	f.counters.Gauge("connections_opened", func() any { return f.pool.OpenedConnections() })
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -202,6 +202,7 @@
 	visibleFronts  int
 	frontCountSeen time.Time
 	passedOver     [passReasons]uint64
+	rereadTokens   [rereadCauses]uint64
 	uses           partUses
 }
 
@@ -455,6 +456,7 @@
 // recordChoice updates the state of the chosen member and queues a hint for the
 // other fronts.
 func (p *Placer) recordChoice(c *Choice, req *Request, now time.Time) {
+	p.countRereads(c, req, now)
 	c.sentAt = now
 	m := c.member
 	c.SendDelay = p.sendDelay(m, req, now)
