--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -192,6 +192,9 @@
 	for _, reason := range []overload.Reason{overload.BeyondPatience, overload.StandingQueue, overload.LateResponses, overload.Probe} {
 		f.counters.Gauge("overload_"+reason.String(), func() any { return f.overload.Count(reason) })
 	}
+	for _, cause := range placement.RereadCauses {
+		f.counters.Gauge("shared_tokens_read_again_"+cause.String(), func() any { return f.placer.RereadTokens(cause) })
+	}
 	f.quarantine = newFrontQuarantine(f.pool.Probe, f.logger)
 	f.quarantine.leaves = f.placer.Leaves
 	f.counters.Gauge("connections_opened", func() any { return f.pool.OpenedConnections() })
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -16,12 +16,6 @@
 )
 
 const (
-	// cacheFraction is the fraction of an engine's memory that holds cached
-	// parts; running requests use the rest.
-	cacheFraction = 0.8
-	// defaultCacheTokens is the memory, in tokens, assumed for engines whose
-	// memory is not known.
-	defaultCacheTokens = 80_000
 	// prefillTokensPerMS is the number of prompt tokens that an engine prefills
 	// per millisecond. Prefill proceeds in steps of prefillChunkTokens. Each
 	// step adds prefillStepMS, and each pair of a token and an earlier token
@@ -50,7 +44,7 @@
 	// the prefill time of its shared parts. It keeps prompts with the same
 	// shared parts together, so that these are cached once rather than on many
 	// engines.
-	homeDiscount = 0.8
+	homeDiscount = 0.25
 	// inflightPenaltyMS is the load that each request of this VM in flight at a
 	// target adds in the choice between targets of equal cost, in milliseconds.
 	inflightPenaltyMS = 2.0
@@ -140,6 +134,9 @@
 	Belief Belief
 	// Unanswered is set by Done if the request was sent and ended without a first byte.
 	Unanswered *Unanswered
+	// SendDelay is how long the request should wait before it is sent, so that the target
+	// has the parts that it is prefilling. Expected includes it.
+	SendDelay time.Duration
 
 	member  *member
 	attempt *targetstate.Attempt
@@ -147,6 +144,10 @@
 	workMS float64
 	// slowdown is how many times longer than that the target takes.
 	slowdown float64
+	// fetchedTokens is the number of tokens that the engine is expected to fetch.
+	fetchedTokens int
+	// costMS is the cost of the choice without prices and preferences.
+	costMS float64
 	// insertedTokens is the number of tokens that the request adds to the
 	// engine's memory.
 	insertedTokens float64
@@ -174,13 +175,9 @@
 	// down is set after a failed connection. A target that is down gets
 	// requests only if no other one is left.
 	down bool
-	// insertedTokens is the number of tokens that requests of all VMs have
-	// added to the engine's memory, and parts maps the hash of a part to that
-	// number at the part's last use. The least recently used parts are evicted
-	// first.
-	insertedTokens float64
-	parts          map[uint32]float64
-	// insertion is how fast insertedTokens grows.
+	// held is what the engine has in memory.
+	held holding
+	// insertion is how fast prompts of all VMs add tokens to the engine's memory.
 	insertion decayingRate
 	// admission is what the target has said about the requests that it accepts.
 	admission admission
@@ -224,6 +221,7 @@
 	visibleFronts  int
 	frontCountSeen time.Time
 	passedOver     [passReasons]uint64
+	rereadTokens   [rereadCauses]uint64
 	uses           partUses
 }
 
@@ -271,7 +269,7 @@
 func mergeMember(m *member, t Target, g *targetstate.Group) *member {
 	if m == nil || m.Address != t.Address || m.Started != t.Started {
 		next := &member{
-			Target: t, registryWeights: t.Weights, hash: xxhash.Sum64String(t.ID), parts: make(map[uint32]float64),
+			Target: t, registryWeights: t.Weights, hash: xxhash.Sum64String(t.ID),
 			state: targetstate.NewTarget(g),
 		}
 		if m != nil && m.Address == t.Address {
@@ -286,7 +284,7 @@
 	}
 	m.registryWeights, t.Weights = t.Weights, weights
 	if m.Weights != weights {
-		m.parts = make(map[uint32]float64)
+		m.held = holding{}
 	}
 	m.Target = t
 	return m
@@ -332,8 +330,8 @@
 // use allows.
 func (p *Placer) cheapest(s *service, req *Request, now time.Time, use limitUse, includeDown bool) *Choice {
 	home := p.homeFor(s, req, now)
-	holders := s.holdersByZone(req)
-	var best, c Choice
+	holders := s.holdersByZone(req, now)
+	var best, fastest, c Choice
 	bestCost, bestLoad := math.Inf(1), 0.0
 	for _, m := range s.members {
 		if !eligible(m, req, now, includeDown) || !p.admits(m, now) || !use.allows(m, now, p.fleet()) {
@@ -348,6 +346,11 @@
 			cost += staleWeightsPenaltyMS
 		}
 		cost += use.delayToOthers(m, c.workMS) + req.Bounds.penaltyMS(&c)
+		c.costMS = cost
+		if fastest.member == nil || cost < fastest.costMS {
+			fastest = c
+		}
+		cost += p.reusePriceMS(&c, holders, req, now)
 		if c.Home {
 			cost -= homeDiscount * s.group.Slowdown() * float64(totalTokens(req.sharedParts())) / prefillTokensPerMS
 		}
@@ -359,6 +362,9 @@
 	if best.member == nil {
 		return nil
 	}
+	if best.costMS > fastest.costMS+maxReuseWaitMS {
+		best = fastest
+	}
 	chosen := best
 	chosen.Target = best.member.Target
 	if best.FetchFrom != nil {
@@ -373,10 +379,11 @@
 func (p *Placer) evaluate(c *Choice, m, home *member, holders []cacheHolder, req *Request, now time.Time) {
 	cached := m.cachedTokens(req)
 	*c = Choice{CachedTokens: cached, Home: m == home, Limited: m.admission.limited, member: m}
-	fetchedTokens, fetchMS := p.planTransfers(c, holders, req, now)
+	fetched, fetchMS := p.planTransfers(c, holders, req, now)
+	c.fetchedTokens = fetched
 	all := totalTokens(req.Parts)
 	c.insertedTokens = float64(all - cached)
-	c.workMS = prefillMS(all-cached-fetchedTokens, cached+fetchedTokens) + fetchMS
+	c.workMS = prefillMS(all-cached-fetched, cached+fetched) + fetchMS
 }
 
 // prefillMS returns the time that an engine needs to prefill new tokens after
@@ -400,7 +407,7 @@
 // that hold most in each zone, for each version of the weights. Within a zone all members
 // are reached at the same cost, so that no other one is a better source. The work grows
 // with the number of members, and not with its square.
-func (s *service) holdersByZone(req *Request) []cacheHolder {
+func (s *service) holdersByZone(req *Request, now time.Time) []cacheHolder {
 	var holders []cacheHolder
 	if len(req.Parts) == 0 {
 		return nil
@@ -409,7 +416,7 @@
 		if m.Weights == 0 || m.Terminating || m.down {
 			continue
 		}
-		tokens := m.cachedTokens(req)
+		tokens := m.fetchableTokens(req, now)
 		if tokens < minFetchTokens {
 			continue
 		}
@@ -511,27 +518,26 @@
 // recordChoice updates the state of the chosen member and queues a hint for the
 // other fronts.
 func (p *Placer) recordChoice(s *service, c *Choice, req *Request, now time.Time) {
+	p.countRereads(c, req, now)
 	c.sentAt = now
 	m := c.member
+	c.SendDelay = p.sendDelay(m, req, now)
+	c.expectation = c.expectation.AtLeast(c.SendDelay)
+	c.Expected = max(c.Expected, c.SendDelay)
 	m.admission.take(now, p.fleet())
 	c.Belief = m.belief(now)
 	c.service, c.priority = req.Service, req.Priority
 	c.attempt = m.state.Send(now, p.work(c, req), c.expectation)
 	m.inflight++
 	m.addBacklog(now, c.priority, c.workMS)
-	m.insertTokens(now, c.insertedTokens)
-	p.uses.record(now, partHashes(req.sharedParts()))
-	for _, part := range req.Parts {
-		m.parts[uint32(part.ID)] = m.insertedTokens
-	}
-	if c.SaveTo != "" {
-		p.recordSave(now, m, partHashes(req.sharedParts()), c.insertedTokens)
+	ready := now.Add(c.Expected)
+	shared, saves := req.sharedParts(), c.SaveTo != ""
+	if added := m.recordPrompt(now, ready, shared, req.Parts[len(shared):], c.insertedTokens); added || saves {
+		p.recordStoreUse(now, ready, m, shared, c.insertedTokens, saves)
 	}
+	p.uses.record(now, shared)
 	if len(req.Parts) > 0 || m.admission.limited {
 		c.announced = true
-		p.queueChoiceHint(c, req.sharedParts())
-	}
-	if len(m.parts) > maxMemberParts {
-		m.evictParts()
+		p.queueChoiceHint(c, shared)
 	}
 }
--- a/internal/targetstate/target.go
+++ b/internal/targetstate/target.go
@@ -46,6 +46,14 @@
 	waitMS float64
 }
 
+// AtLeast returns the expectation of a request that is held back for a while before it is
+// sent, which is not the fault of the target.
+func (e Expectation) AtLeast(delay time.Duration) Expectation {
+	e.MS = max(e.MS, ms(delay))
+	e.NominalMS = max(e.NominalMS, ms(delay))
+	return e
+}
+
 // Attempt is one request that was sent to a target.
 type Attempt struct {
 	target      *Target
