Keep the crashes of quarantined suspects that a part explains

Cause: a crash with a quarantined part counts for nothing else, and was not recorded at all. A new leader begins with what is quarantined, so it dropped the crashes of the quarantined parts themselves, and nothing could explain those of a sound request beside them.

Change: such a crash is recorded for what is quarantined, as it already stayed recorded if the part was quarantined after it.

Measured: TestSuccessorReleasesWhatPartsExplain fails before ("released []"); all tests of the package pass.

--- a/internal/quarantine/record_test.go
+++ b/internal/quarantine/record_test.go
@@ -108,3 +108,24 @@
 		t.Errorf("%d requests of one crash are recorded, want %d", n, maxRecordedRequests)
 	}
 }
+
+// Guards against a sound request that stays quarantined because a new leader does not know that
+// quarantined parts were in its crashes (soak, seed 19008).
+func TestSuccessorReleasesWhatPartsExplain(t *testing.T) {
+	first := NewTracker()
+	sound := RequestKey("sound")
+	for i, part := range []string{"a", "a", "a", "a", "b", "b", "b", "b"} {
+		engine, at := fmt.Sprint(i), 1+float64(i)
+		if i == 1 || i == 4 {
+			crashOf(first, engine, at, request("sound"))
+		}
+		crashOf(first, engine, at, request(fmt.Sprint("other-", i), part))
+		if i == 0 {
+			crashOf(first, engine, at, request("sound"))
+		}
+	}
+	second := successor(t, first, 10*time.Second, "a", "b", sound)
+	if got := second.Released(); !slices.Equal(got, []string{sound}) {
+		t.Errorf("released %q, want the sound request", got)
+	}
+}
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -56,10 +56,9 @@
 	if slices.ContainsFunc(c.Requests, t.hasQuarantinedPart) {
 		t.explain(id)
 	}
-	if t.explained[id] {
-		return
+	if !t.explained[id] {
+		t.noteCrash(id, c.Requests)
 	}
-	t.noteCrash(id, c.Requests)
 	for _, r := range c.Requests {
 		t.recordSuspect(now, id, c.At, r.Key, 0, r)
 		for depth, part := range r.Parts {
@@ -103,7 +102,7 @@
 }
 
 func (t *Tracker) recordSuspect(now time.Duration, id crashID, at time.Duration, suspect string, depth int, r BrokenRequest) {
-	if suspect == "" {
+	if suspect == "" || t.explained[id] && !t.quarantined[suspect] {
 		return
 	}
 	e := t.suspects[suspect]
