Tell in the log which limit a refusal by late responses means

The reason said that the first byte was expected over the limit, which need not be so when requests are refused because all responses are late.

--- a/internal/proxy/overload.go
+++ b/internal/proxy/overload.go
@@ -71,13 +71,20 @@
 // endOverloaded returns the refusal of a request that no target is expected to begin in time.
 func (c *call) endOverloaded(choice *placement.Choice) *refusal {
 	c.choice, c.targetID = choice, choice.Target.ID
-	c.addReason(fmt.Sprintf("%v: the first byte is expected after %v, which is over the limit of %v",
-		c.verdict.Reason, choice.Expected.Round(time.Millisecond), c.verdict.Limit.Round(time.Millisecond)))
+	c.addReason(overloadReason(c.verdict, choice.Expected))
 	refused := errOverloaded
 	refused.retryAfter = c.verdict.RetryAfter
 	return &refused
 }
 
+func overloadReason(v overload.Verdict, expected time.Duration) string {
+	expected, limit := expected.Round(time.Millisecond), v.Limit.Round(time.Millisecond)
+	if v.Reason == overload.LateResponses {
+		return fmt.Sprintf("%v: all recent responses began later than %v, and the first byte is expected after %v", v.Reason, limit, expected)
+	}
+	return fmt.Sprintf("%v: the first byte is expected after %v, which is over the limit of %v", v.Reason, expected, limit)
+}
+
 // outOfPatience reports whether a request that can still be refused has waited here until its
 // caller leaves.
 func (c *call) outOfPatience() bool {
