Use an ejected target while all others are much busier

An ejected target got no request but trials. It now costs 200 ms more, on top of the penalty for its failures. The mark of homes at ejected targets had no reader left and is removed.

--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -16,9 +16,6 @@
 	if shared <= 0 {
 		return nil
 	}
-	for _, m := range s.members {
-		m.ejected = m.state.Ejected(now)
-	}
 	members := s.members
 	if !p.uses.survive(s, req.sharedParts(), now) {
 		members = p.storeBacked(s, req)
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -57,6 +57,10 @@
 	// failurePenaltyMS is the penalty for a target that fails every request, in
 	// milliseconds.
 	failurePenaltyMS = 4000.0
+	// ejectedPenaltyMS is the penalty for an ejected target, in milliseconds. It comes on
+	// top of that for its failures. The other targets may be so busy that a target which
+	// answers a part of its requests serves more of them in time.
+	ejectedPenaltyMS = 200.0
 )
 
 // Target is what placement needs to know about one incarnation of a target.
@@ -158,8 +162,6 @@
 	// inflight counts the requests of this VM in flight.
 	inflight int
 	state    *targetstate.Target
-	// ejected is set while the state says so, as of the latest choice of a home.
-	ejected bool
 	// down is set after a failed connection. A target that is down gets
 	// requests only if no other one is left.
 	down bool
@@ -304,7 +306,7 @@
 }
 
 // cheapest returns a Choice of the member with the lowest cost. Members that are
-// down or ejected are considered only if includeDown is set, and members with a limit only as far as
+// down are considered only if includeDown is set, and members with a limit only as far as
 // use allows.
 func (p *Placer) cheapest(s *service, req *Request, now time.Time, use limitUse, includeDown bool) *Choice {
 	home := p.homeFor(s, req, now)
@@ -312,7 +314,7 @@
 	var best, c Choice
 	bestCost, bestLoad := math.Inf(1), 0.0
 	for _, m := range s.members {
-		if !eligible(m, req, now, includeDown) || !p.admits(m, now) || !use.allows(m, now, p.fleet()) {
+		if !eligible(m, req, includeDown) || !p.admits(m, now) || !use.allows(m, now, p.fleet()) {
 			continue
 		}
 		p.evaluate(&c, m, home, holders, req, now)
@@ -321,6 +323,9 @@
 		if req.Weights > m.Weights && m.Weights > 0 {
 			cost += staleWeightsPenaltyMS
 		}
+		if !m.state.Usable(now) {
+			cost += ejectedPenaltyMS
+		}
 		cost += use.delayToOthers(m, c.workMS)
 		if c.Home {
 			cost -= homeDiscount * s.group.Slowdown() * float64(totalTokens(req.sharedParts())) / prefillTokensPerMS
@@ -439,10 +444,9 @@
 	}
 }
 
-// eligible reports whether the request can be placed at m. Targets that are down or ejected
-// are not, unless includeDown is set.
-func eligible(m *member, req *Request, now time.Time, includeDown bool) bool {
-	if m.Excluded || !includeDown && (m.down || !m.state.Usable(now)) {
+// eligible reports whether the request can be placed at m.
+func eligible(m *member, req *Request, includeDown bool) bool {
+	if m.Excluded || m.down && !includeDown {
 		return false
 	}
 	for _, id := range req.Exclude {
--- a/internal/placement/statehints_test.go
+++ b/internal/placement/statehints_test.go
@@ -160,3 +160,21 @@
 		t.Errorf("%v ms are left of withdrawn work", left)
 	}
 }
+
+// Guards against ejections that make the other engines so busy that more requests fail
+// than the ejected one would swallow.
+func TestEjectedEngineIsUsedWhileTheOthersAreMuchBusier(t *testing.T) {
+	clock := newFakeClock()
+	p := newTestPlacer(clock, 4)
+	members := p.services["model"].members
+	members[0].state.Apply(clock.now, targetstate.Ejected, 1)
+	if c := mustChoose(t, p, shortPrompt(1)); c.member == members[0] {
+		t.Error("an ejected engine gets a request although others are idle")
+	}
+	for _, m := range members[1:] {
+		m.addBacklog(clock.now, 0, 2*ejectedPenaltyMS)
+	}
+	if c := mustChoose(t, p, shortPrompt(2)); c.member != members[0] {
+		t.Errorf("the ejected engine gets no request although all others are busy for more than %v ms", 2*ejectedPenaltyMS)
+	}
+}
--- a/internal/placement/unanswered.go
+++ b/internal/placement/unanswered.go
@@ -10,8 +10,7 @@
 	FailureRate float64
 	// Slowdown is how many times longer than nominal the target takes.
 	Slowdown float64
-	// Ejected is set while the target gets no requests, or one at a time, because it
-	// swallows some.
+	// Ejected is set while the target gets few requests because it swallows some.
 	Ejected bool
 	// Unanswered is the number of requests of this VM without a first byte, and Oldest
 	// the age of the oldest one.
--- a/internal/targetstate/ejection.go
+++ b/internal/targetstate/ejection.go
@@ -66,7 +66,8 @@
 // Ejected reports whether the target is ejected or is being tried.
 func (t *Target) Ejected(now time.Time) bool { return t.own.inForce(now) || t.peer.inForce(now) }
 
-// Usable reports whether a request may be sent to the target.
+// Usable reports whether a request may be sent to the target without need: it is not
+// ejected, or can be tried now.
 func (t *Target) Usable(now time.Time) bool {
 	return t.own.usable(now, t) && t.peer.usable(now, t)
 }
