Keep to homes on fronts that do not see all hints

Cause: in large fleets fronts exchange hints within their region only, so a front does not know what engines of other regions hold.

Change: fronts that do not exchange hints with all others keep the discount of 0.8.

--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -35,6 +35,14 @@
 	return home
 }
 
+// homeDiscount returns the preference of this VM for homes.
+func (p *Placer) homeDiscount() float64 {
+	if f := p.fleet(); f.visible < f.fronts {
+		return blindHomeDiscount
+	}
+	return homeDiscount
+}
+
 // storeBacked returns the candidates for the home of a request whose region has a store,
 // or all members if there are none.
 func (p *Placer) storeBacked(s *service, req *Request) []*member {
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -45,8 +45,10 @@
 	// homeDiscount is the preference for the home of a prompt, as a fraction of
 	// the prefill time of its shared parts. It keeps prompts with the same
 	// shared parts together, so that these are cached once rather than on many
-	// engines.
-	homeDiscount = 0.25
+	// engines. blindHomeDiscount replaces it on VMs that do not see the hints
+	// of all others, and so do not know which engines hold the parts.
+	homeDiscount      = 0.25
+	blindHomeDiscount = 0.8
 	// inflightPenaltyMS is the load that each request of this VM in flight at a
 	// target adds in the choice between targets of equal cost, in milliseconds.
 	inflightPenaltyMS = 2.0
@@ -308,7 +310,7 @@
 		}
 		cost += p.reusePriceMS(c, holders, req, now)
 		if c.Home {
-			cost -= homeDiscount * float64(totalTokens(req.sharedParts())) / prefillTokensPerMS
+			cost -= p.homeDiscount() * float64(totalTokens(req.sharedParts())) / prefillTokensPerMS
 		}
 		load := float64(m.inflight)*inflightPenaltyMS + p.random()
 		if cost < bestCost-tieThresholdMS || cost < bestCost+tieThresholdMS && load < bestLoad {
