Leave time for the answers of a front that stood still at its end

What callers see: after a stall at the end of a stop, a connection that ends without an answer. Cause: requests in flight are ended and connections closed at two fixed times, 0.2 s apart. A process that stood still at both closes the connections before the answers are written, although a part of its grace period may be left.

Change: the connections are closed a third of the margin after the requests have been ended.

--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -267,9 +267,7 @@
 	stopStarted := time.Now()
 	f.stop.begin(stopStarted)
 	f.logger.Info("front stops", zap.String("reason", "signal"))
-	drainCtx, cancel := context.WithDeadline(context.Background(), f.stop.connectionsEnd())
-	defer cancel()
-	if err := f.callers.Drain(drainCtx, listener, stopStarted.Add(f.stop.minListenTime()), f.stop.requestsEnd()); err != nil {
+	if err := f.callers.Drain(f.stop.connectionsEnded(), listener, stopStarted.Add(f.stop.minListenTime()), f.stop.requestsEnd()); err != nil {
 		f.logger.Warn("grace period ended with open connections; closing them", zap.Error(err))
 	}
 	_ = server.Close()
--- a/internal/edge/stopclock.go
+++ b/internal/edge/stopclock.go
@@ -37,6 +37,9 @@
 	// ended is done from requestsEnd on.
 	ended context.Context
 	end   context.CancelFunc
+	// cut is done when the connections of callers are closed.
+	cut        context.Context
+	closeConns context.CancelFunc
 }
 
 func newStopClock(gracePeriod time.Duration) *stopClock {
@@ -45,13 +48,18 @@
 	}
 	s := &stopClock{gracePeriod: gracePeriod}
 	s.ended, s.end = context.WithCancel(context.Background())
+	s.cut, s.closeConns = context.WithCancel(context.Background())
 	return s
 }
 
 // begin records that the signal has arrived.
 func (s *stopClock) begin(now time.Time) {
 	s.started.Store(&now)
-	time.AfterFunc(time.Until(s.requestsEnd()), s.end)
+	time.AfterFunc(time.Until(s.requestsEnd()), func() {
+		s.end()
+		// Callers get their responses even if the process stood still at requestsEnd.
+		time.AfterFunc(s.margin()/finalResponseFraction, s.closeConns)
+	})
 }
 
 // stopping reports whether the signal has arrived.
@@ -68,11 +76,10 @@
 // requestsEnd returns when the requests in flight are ended.
 func (s *stopClock) requestsEnd() time.Time { return s.started.Load().Add(s.gracePeriod - s.margin()) }
 
-// connectionsEnd returns when the connections of callers are closed, so that callers get
-// the responses to the requests that are ended.
-func (s *stopClock) connectionsEnd() time.Time {
-	return s.requestsEnd().Add(s.margin() / finalResponseFraction)
-}
+// connectionsEnded returns the context that ends when the connections of callers are closed,
+// which is some time after Ended, so that callers get the responses to the requests that are
+// ended.
+func (s *stopClock) connectionsEnded() context.Context { return s.cut }
 
 // Elapsed implements proxy.Shutdown.
 func (s *stopClock) Elapsed() time.Duration {
