End the response beside which a VM stops when its test says so

Cause, by reading: the response had 5,000 tokens, one for each wake-up of the engine.

Change: the stand-in of an engine can delay its tokens, and the tests end the delay after their last check, so the VM is busy for as long as they need and no longer.

--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -13,12 +13,14 @@
 	"time"
 
 	"github.com/cuminwing/cuminwing/internal/settings"
+	"github.com/cuminwing/cuminwing/internal/standin"
 )
 
 const (
-	// busyTokens is the length of the response that keeps a VM busy. An engine of these
-	// tests takes at least a millisecond for a token.
-	busyTokens = 5000
+	// busyTokens is the length of the response that keeps a VM busy, and busyDelay the time
+	// before each token until the test lets the response end.
+	busyTokens = 150
+	busyDelay  = 100 * time.Millisecond
 	// keptTime and lateTime are times after the signal. The first is after the lame duck
 	// period, and at the second a VM accepts no connection any more.
 	keptTime = 1500 * time.Millisecond
@@ -28,7 +30,8 @@
 // stoppingVM is a VM whose callers use TLS if tls is set.
 type stoppingVM struct {
 	*testVM
-	tls bool
+	tls    bool
+	engine *standin.Engine
 }
 
 func startStoppingVM(t *testing.T, withTLS bool) *stoppingVM {
@@ -43,13 +46,17 @@
 		s.CallerTLS = &files
 	}
 	document := testDocument()
+	// A stall of the machine must not end the response that keeps the VM busy.
+	grade := document.Routes["grade"]
+	grade.FirstTokenTimeoutMS, grade.TokenGapTimeoutMS = grade.TimeoutMS, grade.TimeoutMS
+	document.Routes["grade"] = grade
 	node, err := Start(s, Options{Document: &document})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(node.Close)
-	vm := &stoppingVM{&testVM{node, "http://" + s.CallerAddress}, withTLS}
-	startEngine(t, "e1", false, vm.testVM)
+	vm := &stoppingVM{testVM: &testVM{node, "http://" + s.CallerAddress}, tls: withTLS}
+	vm.engine = startEngine(t, "e1", false, vm.testVM)
 	return vm
 }
 
@@ -98,8 +105,10 @@
 }
 
 // stopBeside stops the VM beside a long response and returns the connection of its caller.
+// The response ends soon after endResponse, or the end of the test.
 func (vm *stoppingVM) stopBeside(t *testing.T) *bufio.Reader {
 	t.Helper()
+	vm.engine.SetFaults(standin.EngineFaults{TokenDelay: busyDelay})
 	conn := vm.dial(t, "http/1.1")
 	body := chatBody("dossier", busyTokens, true)
 	fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: vm\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", testKey, len(body), body)
@@ -108,9 +117,12 @@
 		t.Fatal(err)
 	}
 	vm.stop(t)
+	t.Cleanup(vm.endResponse)
 	return reader
 }
 
+func (vm *stoppingVM) endResponse() { vm.engine.SetFaults(standin.EngineFaults{}) }
+
 const (
 	modelsStart = "GET /v1/models HTTP/1.1\r\n"
 	modelsEnd   = "Host: vm\r\nAuthorization: Bearer " + testKey + "\r\n\r\n"
@@ -159,7 +171,10 @@
 // Guards against a stop that cuts a long response over HTTP/1, or does not end.
 func TestLongResponseIsCompleteAtTheEndOfAStop(t *testing.T) {
 	forEachTransport(t, func(t *testing.T, vm *stoppingVM) {
-		response, err := http.ReadResponse(vm.stopBeside(t), nil)
+		reader := vm.stopBeside(t)
+		time.Sleep(lateTime)
+		vm.endResponse()
+		response, err := http.ReadResponse(reader, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/cuminwing/cuminwing/internal/adapter/targethttp"
+	"github.com/cuminwing/cuminwing/internal/pause"
 )
 
 // EngineFaults configures fault injection in a simulated engine. The zero value
@@ -18,6 +20,8 @@
 	// StallAfterTokens stalls the stream after this many tokens, with the
 	// connection open; zero is off.
 	StallAfterTokens int
+	// TokenDelay is the time before each token, beside EngineOptions.TokenInterval.
+	TokenDelay time.Duration
 	// CloseAfterTokens closes the connection after this many tokens; zero is
 	// off.
 	CloseAfterTokens int
@@ -149,6 +153,9 @@
 // this response. It reports false if the stream must end.
 func (f *faultInjector) injectBeforeToken(ctx context.Context, out *eventWriter, sent int) bool {
 	faults := f.active()
+	if !pause.For(ctx, faults.TokenDelay) {
+		return false
+	}
 	if faults.StallAfterTokens > 0 && sent >= faults.StallAfterTokens {
 		<-ctx.Done()
 		return false
