Refuse no request for a queue that few requests have found long

Cause: two requests at one VM that found the queue long, up to two seconds apart, made it a standing queue, and two late responses counted as all of them.

Change: four requests in a row must have found the queue long, and three responses in a row must have been late. TestFewRequestsAreNoStandingQueue fails on the code before ("request 1 gives standing_queue").

--- a/internal/overload/control_test.go
+++ b/internal/overload/control_test.go
@@ -166,3 +166,22 @@
 		}
 	}
 }
+
+// Guards against refusals at a VM with few requests, where two that find a long queue, or two
+// late responses, are far apart.
+func TestFewRequestsAreNoStandingQueue(t *testing.T) {
+	b := newBed()
+	r := testRequest()
+	for i := range 2 {
+		if v := b.decide(r, testObjective); v.Reason != Admitted {
+			t.Fatalf("request %d gives %+v", i, v)
+		}
+		b.Observe(r, Estimate{Expected: testObjective, Work: 20 * time.Millisecond, Certain: true}, 2*testObjective, true)
+		b.now = b.now.Add(2 * testObjective)
+	}
+	for i := range 20 {
+		if v := b.decide(r, testObjective/4); v.Reason != Admitted {
+			t.Fatalf("request %d after two late ones gives %+v", i, v)
+		}
+	}
+}
--- a/internal/overload/feedback.go
+++ b/internal/overload/feedback.go
@@ -14,6 +14,8 @@
 	maxShare     = 0.8
 	// maxSteps limits the change after a time without requests.
 	maxSteps = 2
+	// minLateResponses is the number of late responses in a row that counts as all.
+	minLateResponses = 3
 	// longestHalfLife is the half-life of the longest recent time to a first byte.
 	longestHalfLife = time.Second
 )
@@ -22,6 +24,8 @@
 type feedback struct {
 	// lateSince is since when all responses were late; zero if the latest was not.
 	lateSince time.Time
+	// lateResponses counts the late responses since lateSince.
+	lateResponses int
 	// refused is the share of requests to refuse, as of at.
 	refused float64
 	at      time.Time
@@ -38,12 +42,20 @@
 	switch {
 	case !late && (e.Limited || !answered):
 	case !late:
-		f.lateSince = time.Time{}
-	case f.lateSince.IsZero():
-		f.lateSince = now
+		f.lateSince, f.lateResponses = time.Time{}, 0
+	default:
+		if f.lateSince.IsZero() {
+			f.lateSince = now
+		}
+		f.lateResponses++
 	}
 }
 
+// allLate reports whether all responses have been late for some time.
+func (f *feedback) allLate(now time.Time, r Request) bool {
+	return f.lateResponses >= minLateResponses && now.Sub(f.lateSince) >= r.Objective
+}
+
 func (f *feedback) recentLongest(now time.Time) time.Duration {
 	return time.Duration(float64(f.longest) * halved(now.Sub(f.longestAt), longestHalfLife))
 }
@@ -54,7 +66,7 @@
 		return 0
 	}
 	steps := min(float64(now.Sub(f.at))/float64(r.Objective), maxSteps)
-	if !f.lateSince.IsZero() && now.Sub(f.lateSince) >= r.Objective {
+	if f.allLate(now, r) {
 		f.refused = min(f.refused+shareGrowth*steps, maxShare)
 	} else {
 		f.refused = max(f.refused-shareDecline*steps, 0)
--- a/internal/overload/queue.go
+++ b/internal/overload/queue.go
@@ -13,6 +13,9 @@
 	queueFraction = 0.5
 	// calmTime is how long a queue must have been short to be no longer standing.
 	calmTime = 2 * time.Second
+	// minLongFindings is the number of requests in a row that must have found the queue
+	// long: where requests are rare, two that did may be as far apart as an objective.
+	minLongFindings = 4
 )
 
 // queue is the queue that the requests of one priority find at their best target.
@@ -20,6 +23,8 @@
 	// longSince is when the queue became long; zero while it is short. lastLong is when a
 	// request last found it long.
 	longSince, lastLong time.Time
+	// longFindings counts the requests that found it long since longSince.
+	longFindings int
 	// standing is set once the queue has been long for the objective of its requests, and
 	// standingSince when it became long.
 	standing      bool
@@ -38,10 +43,11 @@
 	switch {
 	case long:
 		if q.longSince.IsZero() || now.Sub(q.lastLong) > calmTime {
-			q.longSince = now
+			q.longSince, q.longFindings = now, 0
 		}
 		q.lastLong = now
-		if !q.standing && now.Sub(q.longSince) >= r.Objective {
+		q.longFindings++
+		if !q.standing && now.Sub(q.longSince) >= r.Objective && q.longFindings >= minLongFindings {
 			q.standing, q.standingSince = true, q.longSince
 		}
 	case e.Limited:
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -357,7 +357,7 @@
 		if fastest.member == nil || cost < fastest.costMS {
 			fastest = c
 		}
-		cost += p.reusePriceMS(&c, holders, req, now)
+		cost += s.group.Slowdown() * p.reusePriceMS(&c, holders, req, now)
 		if c.Home {
 			cost -= p.homeDiscount() * s.group.Slowdown() * float64(totalTokens(req.sharedParts())) / prefillTokensPerMS
 		}
