--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -35,6 +35,14 @@
 	return home
 }
 
+// homeDiscount returns the preference of this VM for homes.
+func (p *Placer) homeDiscount() float64 {
+	if f := p.fleet(); f.visible < f.fronts {
+		return blindHomeDiscount
+	}
+	return homeDiscount
+}
+
 // storeBacked returns the candidates for the home of a request whose region has a store,
 // or all members if there are none.
 func (p *Placer) storeBacked(s *service, req *Request) []*member {
@@ -53,7 +61,9 @@
 // canBeHome reports whether the member is a candidate for the home of a
 // request. Engines with older weights are not, because their cache is lost with
 // the coming weight update.
-func (m *member) canBeHome(r *Request) bool { return !m.Excluded && !m.down && m.Weights >= r.Weights }
+func (m *member) canBeHome(r *Request) bool {
+	return !m.Excluded && !m.down && m.Weights >= r.Weights
+}
 
 // The homes of prompts with the same first part are 1/groupDivisor of the
 // service's engines, but at least minGroupSize.
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -11,19 +11,11 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/cuminwing/cuminwing/internal/targetstate"
 )
 
 const (
-	// cacheFraction is the fraction of an engine's memory that holds cached
-	// parts; running requests use the rest.
-	cacheFraction = 0.8
-	// defaultCacheTokens is the memory, in tokens, assumed for engines whose
-	// memory is not known.
-	defaultCacheTokens = 80_000
-	// waitHalfLife is the half-life of an observed wait at a target.
-	waitHalfLife = 700 * time.Millisecond
-	// failureHalfLife is the half-life of a target's failure rate.
-	failureHalfLife = 4 * time.Second
 	// prefillTokensPerMS is the number of prompt tokens that an engine prefills
 	// per millisecond. Prefill proceeds in steps of prefillChunkTokens. Each
 	// step adds prefillStepMS, and each pair of a token and an earlier token
@@ -51,14 +43,20 @@
 	// homeDiscount is the preference for the home of a prompt, as a fraction of
 	// the prefill time of its shared parts. It keeps prompts with the same
 	// shared parts together, so that these are cached once rather than on many
-	// engines.
-	homeDiscount = 0.8
+	// engines. blindHomeDiscount replaces it on VMs that do not see the hints
+	// of all others, and so do not know which engines hold the parts.
+	homeDiscount      = 0.25
+	blindHomeDiscount = 0.8
 	// inflightPenaltyMS is the load that each request of this VM in flight at a
 	// target adds in the choice between targets of equal cost, in milliseconds.
 	inflightPenaltyMS = 2.0
 	// failurePenaltyMS is the penalty for a target that fails every request, in
 	// milliseconds.
 	failurePenaltyMS = 4000.0
+	// ejectedPenaltyMS is the penalty for an ejected target, in milliseconds. It comes on
+	// top of that for its failures. The other targets may be so busy that a target which
+	// answers a part of its requests serves more of them in time.
+	ejectedPenaltyMS = 200.0
 )
 
 // Target is what placement needs to know about one incarnation of a target.
@@ -98,8 +96,15 @@
 	Weights uint64
 	// Priority is the priority with which the target runs the request; 0 is the highest.
 	Priority int
+	// Class names requests that targets answer alike, for example the route.
+	Class string
 	// Exclude lists the IDs of targets that have failed this request.
 	Exclude []string
+	// Bounds are the times beyond which a target is chosen only if there is no better one.
+	Bounds Bounds
+	// Accept is asked about the chosen target. If it reports false, the choice is returned
+	// with Refused set, and nothing is recorded. It must not call the Placer. It may be nil.
+	Accept func(c *Choice) bool
 }
 
 // sharedParts returns the parts that other requests may share.
@@ -127,18 +132,38 @@
 	// may be refused because of it.
 	Expected time.Duration
 	Certain  bool
+	// Limited is set if the target has named a limit of requests a second.
+	Limited bool
+	// Refused is set if Request.Accept has rejected the choice. Done must not be called.
+	Refused bool
+	// Belief is what was believed of the target.
+	Belief Belief
+	// Unanswered is set by Done if the request was sent and ended without a first byte.
+	Unanswered *Unanswered
+	// SendDelay is how long the request should wait before it is sent, so that the target
+	// has the parts that it is prefilling. Expected includes it.
+	SendDelay time.Duration
 
-	member *member
+	member  *member
+	attempt *targetstate.Attempt
 	// workMS is the time that the engine needs to fetch and prefill the prompt.
 	workMS float64
+	// slowdown is how many times longer than that the target takes.
+	slowdown float64
+	// fetchedTokens is the number of tokens that the engine is expected to fetch.
+	fetchedTokens int
+	// costMS is the cost of the choice without prices and preferences.
+	costMS float64
 	// insertedTokens is the number of tokens that the request adds to the
 	// engine's memory.
 	insertedTokens float64
-	// includedWaitMS is the wait observed at earlier requests, which Expected
-	// includes.
-	includedWaitMS float64
+	expectation    targetstate.Expectation
+	service        string
+	priority       int
 	sentAt         time.Time
 	firstByteSeen  bool
+	// announced is set if the other VMs count the work of the request.
+	announced bool
 }
 
 // member is a target with the state that this VM tracks for it.
@@ -150,26 +175,13 @@
 	registryWeights uint64
 	// inflight counts the requests of this VM in flight.
 	inflight int
-	// backlogMS is the prefill work, from all VMs, that was left at backlogAt.
-	backlogMS float64
-	backlogAt time.Time
-	// waitMS is the observed wait beyond the expected time, as of waitAt.
-	waitMS float64
-	waitAt time.Time
-	// failureRate is the decayed fraction of failed requests, as of
-	// failureRateAt.
-	failureRate   float64
-	failureRateAt time.Time
+	state    *targetstate.Target
 	// down is set after a failed connection. A target that is down gets
 	// requests only if no other one is left.
 	down bool
-	// insertedTokens is the number of tokens that requests of all VMs have
-	// added to the engine's memory, and parts maps the hash of a part to that
-	// number at the part's last use. The least recently used parts are evicted
-	// first.
-	insertedTokens float64
-	parts          map[uint32]float64
-	// insertion is how fast insertedTokens grows.
+	// held is what the engine has in memory.
+	held holding
+	// insertion is how fast prompts of all VMs add tokens to the engine's memory.
 	insertion decayingRate
 	// admission is what the target has said about the requests that it accepts.
 	admission admission
@@ -177,6 +189,7 @@
 
 type service struct {
 	members []*member
+	group   *targetstate.Group
 	sizes   requestSizes
 }
 
@@ -189,6 +202,13 @@
 	// OnNotice is called when what this VM knows of the requests that a target accepts
 	// changes. It must not block or call the Placer. It may be nil.
 	OnNotice func(NoticeChange)
+	// OnFirstByte is called with the expected and the actual time to a first byte, and
+	// OnUnanswered with the cause if an attempt ends without one. They must not block or
+	// call the Placer. They may be nil.
+	OnFirstByte  func(expected, actual time.Duration)
+	OnUnanswered func(expected time.Duration, cause Cause)
+	// Stopping reports whether this VM stops. It may be nil.
+	Stopping func() bool
 	// random returns a random number from 0 to 1.
 	random func() float64
 
@@ -205,12 +225,18 @@
 	visibleFronts  int
 	frontCountSeen time.Time
 	passedOver     [passReasons]uint64
+	rereadTokens   [rereadCauses]uint64
 	uses           partUses
 }
 
 // New returns a Placer without targets.
 func New(zone, region string, clock func() time.Time) *Placer {
-	return &Placer{Region: region, Zone: zone, Clock: clock, random: rand.Float64, hintsReady: make(chan struct{}, 1)}
+	return NewWithRandom(zone, region, clock, rand.Float64)
+}
+
+// NewWithRandom is like New, with a source of random numbers from 0 to 1.
+func NewWithRandom(zone, region string, clock func() time.Time, random func() float64) *Placer {
+	return &Placer{Region: region, Zone: zone, Clock: clock, random: random, hintsReady: make(chan struct{}, 1)}
 }
 
 // Update replaces the registry. The state of targets that stay is kept.
@@ -225,13 +251,17 @@
 				known[m.ID] = m
 			}
 		}
-		s := &service{}
+		s := &service{group: targetstate.NewGroup(p.random)}
 		if old := p.services[name]; old != nil {
-			s.sizes = old.sizes
+			s.sizes, s.group = old.sizes, old.group
 		}
-		for _, t := range list {
-			s.members = append(s.members, mergeMember(known[t.ID], t))
+		states := make([]*targetstate.Target, len(list))
+		for i, t := range list {
+			m := mergeMember(known[t.ID], t, s.group)
+			s.members = append(s.members, m)
+			states[i] = m.state
 		}
+		s.group.SetTargets(states)
 		next[name] = s
 	}
 	p.services = next
@@ -240,9 +270,16 @@
 
 // mergeMember applies a registry entry to the known member. The state is kept
 // if the incarnation is the same; new weights invalidate the cache.
-func mergeMember(m *member, t Target) *member {
+func mergeMember(m *member, t Target, g *targetstate.Group) *member {
 	if m == nil || m.Address != t.Address || m.Started != t.Started {
-		return &member{Target: t, registryWeights: t.Weights, hash: xxhash.Sum64String(t.ID), parts: make(map[uint32]float64)}
+		next := &member{
+			Target: t, registryWeights: t.Weights, hash: xxhash.Sum64String(t.ID),
+			state: targetstate.NewTarget(g),
+		}
+		if m != nil && m.Address == t.Address {
+			next.admission.keepPause(&m.admission, time.UnixMilli(t.Started))
+		}
+		return next
 	}
 	weights := m.Weights
 	if t.Weights != m.registryWeights {
@@ -251,7 +288,7 @@
 	}
 	m.registryWeights, t.Weights = t.Weights, weights
 	if m.Weights != weights {
-		m.parts = make(map[uint32]float64)
+		m.held = holding{}
 	}
 	m.Target = t
 	return m
@@ -268,6 +305,9 @@
 		return nil, 0
 	}
 	now := p.Clock()
+	s.group.Processes = p.fleet().fronts
+	s.group.Review(now)
+	p.queueStateHints(s)
 	tokens := totalTokens(req.Parts)
 	s.sizes.record(now, tokens)
 	use := p.limitUseFor(s, now, tokens)
@@ -279,8 +319,12 @@
 	if best == nil {
 		best = p.cheapest(s, &req, now, use, true)
 	}
-	if best != nil {
-		p.recordChoice(best, &req, now)
+	if best == nil {
+		return nil, len(s.members)
+	}
+	best.Certain = best.member.state.Certain(now, req.Priority, req.Bounds.claimMS(best))
+	if best.Refused = req.Accept != nil && !req.Accept(best); !best.Refused {
+		p.recordChoice(s, best, &req, now)
 	}
 	return best, len(s.members)
 }
@@ -290,40 +334,63 @@
 // use allows.
 func (p *Placer) cheapest(s *service, req *Request, now time.Time, use limitUse, includeDown bool) *Choice {
 	home := p.homeFor(s, req, now)
-	holders := s.holdersByZone(req)
-	var best *Choice
+	holders := s.holdersByZone(req, now)
+	var best, fastest, c Choice
 	bestCost, bestLoad := math.Inf(1), 0.0
 	for _, m := range s.members {
 		if !eligible(m, req, includeDown) || !p.admits(m, now) || !use.allows(m, now, p.fleet()) {
 			continue
 		}
-		c := p.evaluate(m, home, holders, req, now)
-		cost := p.roundTripMS(m) + c.workMS + m.currentWait(now) + m.currentBacklog(now) + m.currentFailureRate(now)*failurePenaltyMS
+		p.evaluate(&c, m, home, holders, req, now)
+		c.expectation = m.state.Expect(now, p.work(&c, req))
+		c.Expected = time.Duration(c.expectation.MS * float64(time.Millisecond))
+		c.slowdown = m.state.Slowdown(now)
+		cost := c.expectation.MS + m.state.FailureRate(now)*failurePenaltyMS
 		if req.Weights > m.Weights && m.Weights > 0 {
 			cost += staleWeightsPenaltyMS
 		}
-		c.Expected = time.Duration((cost - m.currentFailureRate(now)*failurePenaltyMS) * float64(time.Millisecond))
-		cost += use.delayToOthers(m, c.workMS)
+		if !m.state.Usable(now) {
+			cost += ejectedPenaltyMS
+		}
+		cost += use.delayToOthers(m, c.workMS) + req.Bounds.penaltyMS(&c)
+		c.costMS = cost
+		if fastest.member == nil || cost < fastest.costMS {
+			fastest = c
+		}
+		cost += s.group.Slowdown() * p.reusePriceMS(&c, holders, req, now)
 		if c.Home {
-			cost -= homeDiscount * float64(totalTokens(req.sharedParts())) / prefillTokensPerMS
+			cost -= p.homeDiscount() * s.group.Slowdown() * float64(totalTokens(req.sharedParts())) / prefillTokensPerMS
 		}
 		load := float64(m.inflight)*inflightPenaltyMS + p.random()
 		if cost < bestCost-tieThresholdMS || cost < bestCost+tieThresholdMS && load < bestLoad {
 			best, bestCost, bestLoad = c, cost, load
 		}
 	}
-	return best
+	if best.member == nil {
+		return nil
+	}
+	if best.costMS > fastest.costMS+maxReuseWaitMS {
+		best = fastest
+	}
+	chosen := best
+	chosen.Target = best.member.Target
+	if best.FetchFrom != nil {
+		source := *best.FetchFrom
+		chosen.FetchFrom = &source
+	}
+	return &chosen
 }
 
-// evaluate returns a Choice of m with the work that the request causes there.
-func (p *Placer) evaluate(m, home *member, holders []cacheHolder, req *Request, now time.Time) *Choice {
+// evaluate sets c to a choice of m, but for its Target, with the work that the request
+// causes there. FetchFrom points to the state of the Placer.
+func (p *Placer) evaluate(c *Choice, m, home *member, holders []cacheHolder, req *Request, now time.Time) {
 	cached := m.cachedTokens(req)
-	c := &Choice{Target: m.Target, CachedTokens: cached, Home: m == home, member: m}
-	fetchedTokens, fetchMS := p.planTransfers(c, holders, req, now)
+	*c = Choice{CachedTokens: cached, Home: m == home, Limited: m.admission.limited, member: m}
+	fetched, fetchMS := p.planTransfers(c, holders, req, now)
+	c.fetchedTokens = fetched
 	all := totalTokens(req.Parts)
 	c.insertedTokens = float64(all - cached)
-	c.workMS = prefillMS(all-cached-fetchedTokens, cached+fetchedTokens) + fetchMS
-	return c
+	c.workMS = prefillMS(all-cached-fetched, cached+fetched) + fetchMS
 }
 
 // prefillMS returns the time that an engine needs to prefill new tokens after
@@ -347,7 +414,7 @@
 // that hold most in each zone, for each version of the weights. Within a zone all members
 // are reached at the same cost, so that no other one is a better source. The work grows
 // with the number of members, and not with its square.
-func (s *service) holdersByZone(req *Request) []cacheHolder {
+func (s *service) holdersByZone(req *Request, now time.Time) []cacheHolder {
 	var holders []cacheHolder
 	if len(req.Parts) == 0 {
 		return nil
@@ -356,7 +423,7 @@
 		if m.Weights == 0 || m.Terminating || m.down {
 			continue
 		}
-		tokens := m.cachedTokens(req)
+		tokens := m.fetchableTokens(req, now)
 		if tokens < minFetchTokens {
 			continue
 		}
@@ -404,6 +471,14 @@
 // the latency objective.
 const staleWeightsPenaltyMS = 120.0
 
+// work returns the request of a choice as far as it matters for the time that the target
+// needs. The time for a request without a prompt does not follow from its size.
+func (p *Placer) work(c *Choice, req *Request) targetstate.Work {
+	return targetstate.Work{
+		Class: req.Class, Priority: req.Priority, WorkMS: c.workMS, RoundTripMS: p.roundTripMS(c.member), Known: len(req.Parts) > 0,
+	}
+}
+
 // eligible reports whether the request can be placed at m.
 func eligible(m *member, req *Request, includeDown bool) bool {
 	if m.Excluded || m.down && !includeDown {
@@ -448,25 +523,27 @@
 
 // recordChoice updates the state of the chosen member and queues a hint for the
 // other fronts.
-func (p *Placer) recordChoice(c *Choice, req *Request, now time.Time) {
+func (p *Placer) recordChoice(s *service, c *Choice, req *Request, now time.Time) {
+	p.countRereads(c, req, now)
 	c.sentAt = now
 	m := c.member
+	c.SendDelay = p.sendDelay(m, req, now)
+	c.expectation = c.expectation.AtLeast(c.SendDelay)
+	c.Expected = max(c.Expected, c.SendDelay)
 	m.admission.take(now, p.fleet())
-	c.includedWaitMS = m.currentWait(now)
+	c.Belief = m.belief(now)
+	c.service, c.priority = req.Service, req.Priority
+	c.attempt = m.state.Send(now, p.work(c, req), c.expectation)
 	m.inflight++
-	m.addBacklog(now, c.workMS)
-	m.insertTokens(now, c.insertedTokens)
-	p.uses.record(now, partHashes(req.sharedParts()))
-	for _, part := range req.Parts {
-		m.parts[uint32(part.ID)] = m.insertedTokens
-	}
-	if c.SaveTo != "" {
-		p.recordSave(now, m, partHashes(req.sharedParts()), c.insertedTokens)
+	m.addBacklog(now, c.priority, c.workMS)
+	ready := now.Add(c.Expected)
+	shared, saves := req.sharedParts(), c.SaveTo != ""
+	if added := m.recordPrompt(now, ready, shared, req.Parts[len(shared):], c.insertedTokens); added || saves {
+		p.recordStoreUse(now, ready, m, shared, c.insertedTokens, saves)
 	}
+	p.uses.record(now, shared)
 	if len(req.Parts) > 0 || m.admission.limited {
-		p.queueChoiceHint(c, req.sharedParts())
-	}
-	if len(m.parts) > maxMemberParts {
-		m.evictParts()
+		c.announced = true
+		p.queueChoiceHint(c, shared)
 	}
 }
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -21,6 +21,14 @@
 	// are known to be, and cleared holds those that have completed since.
 	quarantinedSince map[string]time.Duration
 	cleared          map[string]bool
+	// recorded holds the requests of each crash that are recorded for the next leader, or are
+	// about to be. unrecorded holds the crashes that are not recorded yet, and
+	// unrecordedCompletions the completions that have ended evidence since the last record.
+	recorded              map[crashID]map[string]bool
+	unrecorded            []unrecordedCrash
+	unrecordedCompletions map[string]time.Duration
+	// restoredAt is when the record of the previous leaders was applied; 0 if it was not.
+	restoredAt time.Duration
 	// lastPartQuarantine is when a part was last found to crash engines.
 	lastPartQuarantine time.Duration
 }
@@ -29,7 +37,8 @@
 func NewTracker() *Tracker {
 	return &Tracker{
 		suspects: make(map[string]*evidence), quarantined: make(map[string]bool), crashes: make(map[string][]time.Duration),
-		explained: make(map[crashID]bool), quarantinedSince: make(map[string]time.Duration), cleared: make(map[string]bool), lastPartQuarantine: math.MinInt64,
+		explained: make(map[crashID]bool), quarantinedSince: make(map[string]time.Duration), cleared: make(map[string]bool),
+		recorded: make(map[crashID]map[string]bool), unrecordedCompletions: make(map[string]time.Duration), lastPartQuarantine: math.MinInt64,
 	}
 }
 
@@ -47,8 +56,8 @@
 	if slices.ContainsFunc(c.Requests, t.hasQuarantinedPart) {
 		t.explain(id)
 	}
-	if t.explained[id] {
-		return
+	if !t.explained[id] {
+		t.noteCrash(id, c.Requests)
 	}
 	for _, r := range c.Requests {
 		t.recordSuspect(now, id, c.At, r.Key, 0, r)
@@ -60,9 +69,16 @@
 
 // identify returns the identity of a crash, which is the same for all reports about it. An
 // engine to which all requests of a report were sent after a crash was back, and has crashed
-// again.
+// again. For a crash from before the restored record, the closest recorded one is meant: the
+// leader that has recorded it may have had another clock.
 func (t *Tracker) identify(c Crash) crashID {
 	known := t.crashes[c.Engine]
+	if c.At < t.restoredAt && len(known) > 0 {
+		closest := slices.MinFunc(known, func(a, b time.Duration) int { return cmp.Compare((a - c.At).Abs(), (b - c.At).Abs()) })
+		if (closest - c.At).Abs() < sameCrashTime {
+			return crashID{c.Engine, closest}
+		}
+	}
 	for _, at := range slices.Backward(known) {
 		if (at-c.At).Abs() < sameCrashTime && c.firstSent() < at+restartTime {
 			return crashID{c.Engine, at}
@@ -86,13 +102,13 @@
 }
 
 func (t *Tracker) recordSuspect(now time.Duration, id crashID, at time.Duration, suspect string, depth int, r BrokenRequest) {
-	if suspect == "" {
+	if suspect == "" || t.explained[id] && !t.quarantined[suspect] {
 		return
 	}
 	e := t.suspects[suspect]
 	if e == nil {
 		t.makeRoom(now)
-		e = &evidence{lastCompletion: math.MinInt64}
+		e = newEvidence()
 		t.suspects[suspect] = e
 	}
 	e.depth = max(e.depth, depth)
@@ -112,11 +128,19 @@
 		t.cleared[c.Suspect] = true
 	}
 	e := t.suspects[c.Suspect]
+	if e == nil && t.lacksEvidence(now, c.Suspect) {
+		e = newEvidence()
+		t.suspects[c.Suspect] = e
+	}
 	if e == nil || c.At <= e.lastCompletion {
 		return
 	}
 	e.lastCompletion = c.At
+	before := len(e.sightings)
 	e.sightings = without(e.sightings, func(s sighting) bool { return s.at <= c.At })
+	if len(e.sightings) < before {
+		t.unrecordedCompletions[c.Suspect] = c.At
+	}
 	e.updateSuspicion(now)
 }
 
@@ -159,8 +183,9 @@
 func (t *Tracker) Due(now time.Duration) []string {
 	t.dropExpired(now)
 	t.Suspects(now)
-	requests := t.fatalRequests(now)
-	due := t.dueParts(now, requests)
+	causes := t.likelyCauses()
+	requests := t.fatalRequests(now, causes)
+	due := t.dueParts(now, requests, causes)
 	for request := range requests {
 		if !t.quarantined[request] {
 			due = append(due, request)
@@ -182,8 +207,12 @@
 	}
 }
 
-// Forget removes the evidence about a suspect.
-func (t *Tracker) Forget(suspect string) { delete(t.suspects, suspect) }
+// Forget removes the crashes of a suspect. When it last completed stays known.
+func (t *Tracker) Forget(suspect string) {
+	if e := t.suspects[suspect]; e != nil {
+		e.sightings, e.suspectedSince = nil, 0
+	}
+}
 
 // dropExpired removes the crashes that no longer count.
 func (t *Tracker) dropExpired(now time.Duration) {
@@ -194,6 +223,7 @@
 			delete(t.crashes, engine)
 		}
 	}
+	maps.DeleteFunc(t.recorded, func(id crashID, _ map[string]bool) bool { return now-id.at > evidenceLifetime })
 	maps.DeleteFunc(t.explained, func(id crashID, _ bool) bool { return now-id.at > evidenceLifetime })
 	for suspect, e := range t.suspects {
 		if len(e.sightings) > 0 && now-e.sightings[0].at > evidenceLifetime {
