--- a/review/rig-2/engine.go
+++ b/review/rig-2/engine.go
@@ -42,6 +42,8 @@
 	stopBeat   chan struct{}
 	// orders carries out orders; nil if the engine takes none.
 	orders *orders
+	// keepID is set if the engine starts again under the id that it had.
+	keepID bool
 }
 
 func (e *engine) address() string { return fmt.Sprintf("%s:%d", e.ip, enginePort) }
@@ -76,7 +78,9 @@
 	}
 	e.mu.Lock()
 	e.starts++
-	e.id = fmt.Sprintf("i-%s-%d", e.name, e.starts)
+	if e.id == "" || !e.keepID {
+		e.id = fmt.Sprintf("i-%s-%d", e.name, e.starts)
+	}
 	e.born = time.Now().UnixMilli()
 	e.listener, e.conns, e.state, e.up, e.sequence = l, make(map[net.Conn]bool), "ready", true, 0
 	if e.version == 0 {
@@ -181,6 +185,9 @@
 		case r.URL.Path == "/healthz":
 			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
 		case e.orders != nil && orderRequest(r):
+			if e.orders.leaveUnanswered(e, body) {
+				continue
+			}
 			_, _ = io.WriteString(conn, orderReply(e.orders.take(e, body)))
 		case r.URL.Path == "/report":
 			text := e.report()
@@ -257,6 +264,12 @@
 			reset(c)
 		}
 		e.lightAgain()
+		if e.orders != nil {
+			// It knows nothing of before.
+			e.orders.mu.Lock()
+			e.orders.accepted, e.orders.busy = 0, false
+			e.orders.mu.Unlock()
+		}
 		for range 50 {
 			if err := e.start(); err == nil {
 				return
--- a/review/rig-2/holders.go
+++ b/review/rig-2/holders.go
@@ -33,6 +33,10 @@
 	received []order
 	accepted uint64
 	busy     bool
+	// late is after which time the next order is carried out, without an answer; 0 if it is
+	// answered at once. lateDone is set once that has happened.
+	late     time.Duration
+	lateDone bool
 	// onArrival is called when the bytes of an order are there, before the engine reads it.
 	onArrival func(body []byte)
 }
@@ -45,6 +49,26 @@
 	time.Sleep(time.Until(until))
 }
 
+// leaveUnanswered reports whether an order is left unanswered, to be carried out late.
+func (o *orders) leaveUnanswered(e *engine, body []byte) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.late == 0 {
+		return false
+	}
+	late := o.late
+	o.late = 0
+	e.c.rec.line("engine %s leaves an order unanswered: %s", e.name, body)
+	time.AfterFunc(late, func() {
+		e.c.rec.line("engine %s carries out the order of %v ago now", e.name, late)
+		reply := o.take(e, body)
+		o.mu.Lock()
+		o.lateDone = reply == 202
+		o.mu.Unlock()
+	})
+	return true
+}
+
 // take carries out an order that the engine has read.
 func (o *orders) take(e *engine, body []byte) int {
 	var b struct {
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -20,7 +20,7 @@
 )
 
 var cases = map[string]func(c *cluster, trouble bool) int{
-	"formation": formation, "holders": holders, "many-parts": manyParts, "dark-crash": darkCrash, "anonymous": anonymous,
+	"formation": formation, "holders": holders, "many-parts": manyParts, "dark-crash": darkCrash, "late-order": lateOrder,
 }
 
 func main() {
