--- a/review/rig-2/darkcrash.go
+++ b/review/rig-2/darkcrash.go
@@ -28,7 +28,7 @@
 	var third time.Time
 	answer := func(e *engine, w net.Conn, r *http.Request, body []byte) {
 		if r.URL.Path != deadlyPath {
-			time.Sleep(30 * time.Millisecond)
+			time.Sleep(150 * time.Millisecond)
 			plainAnswer(w, r, "ok")
 			return
 		}
@@ -66,16 +66,19 @@
 	key := [][2]string{{"Authorization", "Token key1"}}
 	end := time.Now().Add(60 * time.Second)
 	var clients sync.WaitGroup
-	served, asked := 0, 0
-	for k := range 3 {
+	served, lost, asked := 0, 0, 0
+	for k := range 12 {
 		clients.Go(func() {
 			for i := 0; time.Now().Before(end); i++ {
 				f := c.fronts()[(i+k)%3]
 				r := send(f.frontAddress(), "POST", fmt.Sprintf("/a/%d-%d", k, i), "a.example", key, []byte("{}"), 3*time.Second)
 				mu.Lock()
 				asked++
-				if r.status == 200 {
+				switch r.status {
+				case 200:
 					served++
+				case 502, 504:
+					lost++
 				}
 				mu.Unlock()
 				time.Sleep(150 * time.Millisecond)
@@ -90,7 +93,7 @@
 		time.Sleep(1500 * time.Millisecond)
 	}
 	clients.Wait()
-	c.rec.line("other requests: %d asked, %d answered with 200", asked, served)
+	c.rec.line("other requests, which run at most once: %d asked, %d answered with 200, %d ended with 502 or 504 after an engine had got them", asked, served, lost)
 	c.rec.line("the request reached engines %d times later than contact_ms after the third crash; 3 are allowed", late)
 	if trouble && crashes < 3 || served == 0 {
 		return cannot
--- a/review/rig-2/engine.go
+++ b/review/rig-2/engine.go
@@ -44,6 +44,8 @@
 	orders *orders
 	// keepID is set if the engine starts again under the id that it had.
 	keepID bool
+	// places has a value for each request that the engine runs.
+	places chan struct{}
 }
 
 func (e *engine) address() string { return fmt.Sprintf("%s:%d", e.ip, enginePort) }
@@ -247,20 +249,23 @@
 	e.up = false
 	close(e.stopBeat)
 	l := e.listener
-	conns := e.conns
+	var conns []net.Conn
+	for c := range e.conns {
+		conns = append(conns, c)
+	}
 	e.mu.Unlock()
 	e.c.rec.line("engine %s (%s) crashes, dark %v", e.name, e.id, dark)
 	if dark {
 		fillQueue(e)
 	} else {
 		l.Close()
-		for c := range conns {
+		for _, c := range conns {
 			reset(c)
 		}
 	}
 	time.AfterFunc(down, func() {
 		l.Close()
-		for c := range conns {
+		for _, c := range conns {
 			reset(c)
 		}
 		e.lightAgain()
--- a/review/rig-2/lateorder.go
+++ b/review/rig-2/lateorder.go
@@ -25,6 +25,9 @@
 	var named time.Time
 	old, begun := 0, 0
 	answer := func(e *engine, w net.Conn, r *http.Request, body []byte) {
+		// Requests beyond the slots wait.
+		e.places <- struct{}{}
+		defer func() { <-e.places }()
 		e.mu.Lock()
 		version := e.version
 		e.mu.Unlock()
@@ -42,18 +45,21 @@
 			}
 		}
 		mu.Unlock()
-		streamAnswer(w, r, 3)
+		streamAnswer(w, r, 40)
 	}
 	var engines []*engine
 	for i := range 9 {
-		e := &engine{c: c, name: fmt.Sprintf("e%d", i+1), service: "llm", model: "m", ip: c.ip(21 + i), zone: zoneNames[i%3], slots: 96, answer: answer, orders: &orders{}, keepID: true}
+		e := &engine{c: c, name: fmt.Sprintf("e%d", i+1), service: "llm", model: "m", ip: c.ip(21 + i), zone: zoneNames[i%3], slots: 4, answer: answer, orders: &orders{}, keepID: true, places: make(chan struct{}, 4)}
 		e.orders.onArrival = func([]byte) {}
 		engines = append(engines, e)
 		if err := e.start(); err != nil {
 			return cannot
 		}
 	}
-	services := []map[string]any{engineService("llm", "m", 82307)}
+	// Engines run four requests at once, so that the traffic needs all of them.
+	llm := engineService("llm", "m", 82307)
+	llm["engine"].(map[string]any)["slots"] = 4
+	services := []map[string]any{llm}
 	routes := []map[string]any{route("r", "a.example", "/a/", "streaming", "llm", map[string]any{"max_attempts": 1, "timeout_ms": 5000, "target_latency_ms": 800, "target_gap_ms": 250, "session_affinity": true})}
 	if c.operate("PUT", "/config", document(1, routes, services, []map[string]any{tenant("t1", "key1")}), 20*time.Second) != 200 || !c.awaitReady(10*time.Second) {
 		return cannot
@@ -62,7 +68,7 @@
 	end := make(chan struct{})
 	var clients sync.WaitGroup
 	served, asked := 0, 0
-	for k := range 3 {
+	for k := range 54 {
 		clients.Go(func() {
 			for i := 0; ; i++ {
 				select {
--- a/review/rig-2/manyparts.go
+++ b/review/rig-2/manyparts.go
@@ -35,7 +35,7 @@
 	answer := func(e *engine, w net.Conn, r *http.Request, body []byte) {
 		time.Sleep(20 * time.Millisecond)
 		if !strings.Contains(r.Header.Get("Prompt-Prefix"), deadlyPart) {
-			streamAnswer(w, r, 4)
+			streamAnswer(w, r, 30)
 			return
 		}
 		mu.Lock()
@@ -85,16 +85,19 @@
 	}
 	end := time.Now().Add(50 * time.Second)
 	var clients sync.WaitGroup
-	served, asked := 0, 0
-	for k := range 3 {
+	served, lost, asked := 0, 0, 0
+	for k := range 12 {
 		clients.Go(func() {
 			for i := 0; time.Now().Before(end); i++ {
 				f := c.fronts()[(i+k)%3]
 				r := send(f.frontAddress(), "POST", "/a/1", "a.example", headers(1000+10000*k+i, false), []byte(fmt.Sprintf("sound %d %d", k, i)), 5*time.Second)
 				mu.Lock()
 				asked++
-				if r.status == 200 && r.err == nil {
+				switch {
+				case r.status == 200 && r.err == nil:
 					served++
+				case r.status == 200 || r.status == 502:
+					lost++
 				}
 				mu.Unlock()
 				time.Sleep(200 * time.Millisecond)
@@ -108,7 +111,7 @@
 		time.Sleep(1500 * time.Millisecond)
 	}
 	clients.Wait()
-	c.rec.line("other requests: %d asked, %d answered completely", asked, served)
+	c.rec.line("other requests: %d asked, %d answered completely, %d broken off at an engine that crashed", asked, served, lost)
 	c.rec.line("requests with the part reached engines %d times later than contact_ms after the fifth crash; 3 are allowed", late)
 	if trouble && crashes < 4 || served == 0 {
 		return cannot
