Serve a head of legal size whatever the shape of its lines

Callers saw 431 for a single request inside max_header_bytes whose head has very many short lines ("a:", without a space after the colon), folded lines or lines that end with a bare line feed.

Cause: the handler counted each header as name, value and four bytes, although a line can take two bytes less on the wire; and the limit on lines assumed that no line is shorter than four bytes, although a folded line can have two.

The handler now counts the smallest size that a head can have had, and the limit on lines is half of that on bytes. What exceeds the limit on bytes is still refused by the check of the bytes that were read, which allows 4 KiB more as before.

--- a/internal/adapter/callerhttp/limits.go
+++ b/internal/adapter/callerhttp/limits.go
@@ -29,10 +29,10 @@
 	return nil
 }
 
-// headerBytes returns the approximate size of the request header in HTTP/1.1
-// encoding.
+// headerBytes returns the smallest size that the request header can have had in HTTP/1.1
+// encoding: spaces around values and carriage returns may be left out.
 func headerBytes(r *http.Request) int {
-	const separators = len(": \r\n")
+	const separators = len(":\n")
 	total := len(r.Method) + len(r.RequestURI) + len(r.Host)
 	for name, values := range r.Header {
 		for _, v := range values {
--- a/internal/adapter/httpconn/headcheck.go
+++ b/internal/adapter/httpconn/headcheck.go
@@ -6,9 +6,12 @@
 	// headSlackBytes is added to the limit of heads, as net/http does: spaces around values
 	// do not count against the limit that the handler checks.
 	headSlackBytes = 4 << 10
-	// minLineBytes is the size of the shortest header line, a name of one byte and a colon.
-	// The limit on lines is the limit on bytes divided by it, so it refuses no head of legal
-	// size.
+	// minFoldedLineBytes is the size of the shortest line of a head, a space that continues the
+	// line before and a line feed. The limit on lines is the limit on bytes divided by it, so
+	// it refuses no head of legal size.
+	minFoldedLineBytes = 2
+	// minLineBytes is the size of the shortest header line that ends as it should: a name of
+	// one byte, a colon, a carriage return and a line feed.
 	minLineBytes = 4
 	// headLineCost is what a header line costs besides its bytes: its entry in the map of
 	// headers while that grows, its value, and its copy in the request to a target. It is
@@ -99,12 +102,12 @@
 }
 
 func (h *headCheck) fault() headFault {
-	switch limit := h.limit + headSlackBytes; {
+	switch {
 	case h.limit <= 0:
 		return headLegal
-	case h.bytes > limit:
+	case h.bytes > h.limit+headSlackBytes:
 		return headTooLarge
-	case h.lines > limit/minLineBytes:
+	case h.lines > h.limit/minFoldedLineBytes:
 		return headTooManyLines
 	}
 	return headLegal
--- a/internal/adapter/httpconn/headcheck_test.go
+++ b/internal/adapter/httpconn/headcheck_test.go
@@ -49,6 +49,7 @@
 		want headFault
 	}{
 		"shortest lines": {strings.Repeat("a:\r\n", limit/4), headLegal},
+		"folded lines":   {"A: b\n" + strings.Repeat(" \n", limit/2-3), headLegal},
 		"one line":       {strings.Repeat("a", limit), headLegal},
 		"long line":      {strings.Repeat("a", limit+headSlackBytes+1), headTooLarge},
 		"bare lines":     {strings.Repeat("a\n", (limit+headSlackBytes)/2), headTooManyLines},
--- a/internal/proxy/incoming.go
+++ b/internal/proxy/incoming.go
@@ -27,12 +27,13 @@
 	return defaultMaxHeaderBytes
 }
 
-// headerBytes returns the size of the request line and the headers.
+// headerBytes returns the smallest number of bytes that the request line and the headers can
+// have taken: spaces around values and carriage returns may be left out.
 func (c *call) headerBytes() int {
 	const (
-		lineBytes   = len("  HTTP/1.1\r\n")
-		hostBytes   = len("Host: \r\n")
-		headerBytes = len(": \r\n")
+		lineBytes   = len("  HTTP/1.1\n")
+		hostBytes   = len("Host:\n")
+		headerBytes = len(":\n")
 	)
 	n := len(c.r.Method) + len(c.r.RequestURI) + lineBytes + len(c.r.Host) + hostBytes
 	for name, values := range c.r.Header {
