httpconn: set the account of a connection before it can be told to end

What callers saw: a front and a member of the core ended with a nil pointer dereference, and with them all requests in flight, while a crowd connected to several of their listeners.

Cause: the listeners of a process share a Budget. Budget.open published the account of a new connection, and Tracker.admit set conn.account once it had returned. In between, a listener that needed a place could choose this connection, and conn.evict read an account that was nil.

--- a/internal/adapter/httpconn/budget.go
+++ b/internal/adapter/httpconn/budget.go
@@ -104,16 +104,22 @@
 	b.maxConnections = n
 }
 
-// open adds a connection. It returns nil if there is no room for it; ended is the number of
-// connections that were told to end.
-func (b *Budget) open(remote net.Addr, unread func() bool, end func()) (a *account, ended int) {
-	if b == nil {
-		return &account{}, 0
-	}
+// newAccount returns the account of a connection that holds nothing yet.
+func newAccount(remote net.Addr, unread func() bool, end func()) *account {
 	host, _, err := net.SplitHostPort(remote.String())
 	if err != nil {
 		host = remote.String()
 	}
+	return &account{host: host, unread: unread, end: end, waiting: true, since: time.Now()}
+}
+
+// open adds the account of a new connection. It reports false if there is no room for it;
+// ended is the number of connections that were told to end. From then on, the connection may
+// be told to end at any time.
+func (b *Budget) open(a *account) (opened bool, ended int) {
+	if b == nil {
+		return true, 0
+	}
 	b.mu.Lock()
 	freed := max(1, int(freedShare*float64(b.maxConnections)))
 	var victims []*account
@@ -121,18 +127,23 @@
 		victims = b.slowest(nil, func(u *addressUse) int64 { return int64(u.connections) }, func(*account) int64 { return 1 }, 1, int64(freed))
 	}
 	if b.maxConnections <= 0 || len(b.accounts) < b.maxConnections+freed {
-		use := b.addresses[host]
-		if use == nil {
-			use = &addressUse{}
-			b.addresses[host] = use
-		}
-		use.connections++
-		a = &account{address: use, host: host, unread: unread, end: end, waiting: true, since: time.Now()}
-		b.accounts[a] = struct{}{}
+		b.add(a)
+		opened = true
 	}
 	b.mu.Unlock()
 	b.endAll(victims)
-	return a, len(victims)
+	return opened, len(victims)
+}
+
+// add adds an account. The caller must hold mu.
+func (b *Budget) add(a *account) {
+	a.address = b.addresses[a.host]
+	if a.address == nil {
+		a.address = &addressUse{}
+		b.addresses[a.host] = a.address
+	}
+	a.address.connections++
+	b.accounts[a] = struct{}{}
 }
 
 // endAll ends connections that were marked as ended, and wakes those that wait for memory.
--- a/internal/adapter/httpconn/budget_test.go
+++ b/internal/adapter/httpconn/budget_test.go
@@ -36,10 +36,13 @@
 // it is then closed.
 func openTest(b *Budget, host string) (a *account, ended *atomic.Bool) {
 	ended = &atomic.Bool{}
-	a, _ = b.open(&net.TCPAddr{IP: net.ParseIP(host), Port: 1}, func() bool { return false }, func() {
+	a = newAccount(&net.TCPAddr{IP: net.ParseIP(host), Port: 1}, func() bool { return false }, func() {
 		ended.Store(true)
 		b.remove(a)
 	})
+	if opened, _ := b.open(a); !opened {
+		return nil, ended
+	}
 	return a, ended
 }
 
@@ -324,7 +327,8 @@
 func TestConnectionEndedForANewOneIsWoken(t *testing.T) {
 	b, memory := newTestBudget(1000, 1)
 	memory.Force(5000)
-	a, _ := b.open(&net.TCPAddr{IP: net.IPv4(10, 0, 0, 1)}, func() bool { return false }, func() {})
+	a := newAccount(&net.TCPAddr{IP: net.IPv4(10, 0, 0, 1)}, func() bool { return false }, func() {})
+	b.open(a)
 	charged := make(chan bool, 1)
 	go func() { charged <- b.charge(a, 100) }()
 	for charging := false; !charging; time.Sleep(time.Millisecond) {
@@ -413,3 +417,43 @@
 		}
 	}
 }
+
+// Guards against a process that ends because a connection is told to end for one of another
+// listener while it is still being accepted.
+func TestListenersShareABudget(t *testing.T) {
+	budget, _ := newTestBudget(1<<20, 2)
+	var addresses []string
+	for range 4 {
+		tracker := newTestTracker(Limits{Header: time.Minute, HeadBytes: 1 << 10}, nil)
+		tracker.Count, tracker.Budget = func(string) {}, budget
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := &http.Server{ConnState: tracker.ConnState, Handler: http.NotFoundHandler()}
+		go func() { _ = server.Serve(tracker.Listen(listener)) }()
+		t.Cleanup(func() { _ = server.Close() })
+		addresses = append(addresses, listener.Addr().String())
+	}
+	var clients sync.WaitGroup
+	for _, address := range addresses {
+		clients.Go(func() {
+			for range 1000 {
+				// A connection beyond the limit is reset.
+				if conn, err := net.Dial("tcp", address); err == nil {
+					_ = conn.Close()
+				}
+			}
+		})
+	}
+	clients.Wait()
+	for range 100 {
+		response, err := http.Get("http://" + addresses[0])
+		if err == nil {
+			_ = response.Body.Close()
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Error("no request is answered afterwards")
+}
--- a/internal/adapter/httpconn/refuse.go
+++ b/internal/adapter/httpconn/refuse.go
@@ -119,9 +119,9 @@
 
 // admit makes room for a new connection. It closes the connection if there is none.
 func (t *Tracker) admit(c *conn) bool {
-	account, evicted := t.Budget.open(c.RemoteAddr(), func() bool { return sockopt.UnreadBytes(c.TCPConn) > 0 }, c.evict)
-	if account != nil {
-		c.account = account
+	c.account = newAccount(c.RemoteAddr(), func() bool { return sockopt.UnreadBytes(c.TCPConn) > 0 }, c.evict)
+	opened, evicted := t.Budget.open(c.account)
+	if opened {
 		return true
 	}
 	t.Count("connections_refused_by_budget")
