httpconn: lingering connections give up their places to new ones

What callers saw: beside a crowd of refused clients that connect again at once, ordinary callers' connections were reset.

Cause: a closed connection keeps its socket for 200 ms, so that its client can read the refusal, and was counted as an open one meanwhile. A crowd that is refused thousands of times a second so held all places. Since a closed connection cannot be told to end, nothing gave up its place, and new connections were reset. A new connection was reset, too, if those that had been told to end for it were not closed yet.

Change: closed connections are kept in a list, and the oldest end when a new one needs a place.

--- a/internal/adapter/httpconn/budget.go
+++ b/internal/adapter/httpconn/budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/list"
 	"maps"
 	"net"
 	"slices"
@@ -52,6 +53,11 @@
 	heads, ending int64
 	// endingConnections counts the connections that have been ended and are not closed yet.
 	endingConnections int
+	// lingering are the accounts of the closed connections whose sockets are kept for their
+	// clients, the oldest first. They give up their places first.
+	lingering list.List
+	// placeFreed is signaled when a connection is removed.
+	placeFreed sync.Cond
 }
 
 // addressUse is what the connections from one address hold.
@@ -84,6 +90,10 @@
 	ended    bool
 	stopping bool
 	closed   bool
+	// finish closes the socket of a lingering connection. It is called without a lock.
+	// lingers is the place of the connection in the list of those.
+	finish  func()
+	lingers *list.Element
 }
 
 // NewBudget returns a budget. memory is shared with other users; headLimit is the part of it
@@ -93,7 +103,7 @@
 		memory: memory, headLimit: headLimit, maxConnections: maxConnections,
 		accounts: make(map[*account]struct{}), addresses: make(map[string]*addressUse),
 	}
-	b.changed.L = &b.mu
+	b.changed.L, b.placeFreed.L = &b.mu, &b.mu
 	return b
 }
 
@@ -113,39 +123,6 @@
 	return &account{host: host, unread: unread, end: end, waiting: true, since: time.Now()}
 }
 
-// open adds the account of a new connection. It reports false if there is no room for it;
-// ended is the number of connections that were told to end. From then on, the connection may
-// be told to end at any time.
-func (b *Budget) open(a *account) (opened bool, ended int) {
-	if b == nil {
-		return true, 0
-	}
-	b.mu.Lock()
-	freed := max(1, int(freedShare*float64(b.maxConnections)))
-	var victims []*account
-	if b.maxConnections > 0 && len(b.accounts)-b.endingConnections >= b.maxConnections {
-		victims = b.slowest(nil, func(u *addressUse) int64 { return int64(u.connections) }, func(*account) int64 { return 1 }, 1, int64(freed))
-	}
-	if b.maxConnections <= 0 || len(b.accounts) < b.maxConnections+freed {
-		b.add(a)
-		opened = true
-	}
-	b.mu.Unlock()
-	b.endAll(victims)
-	return opened, len(victims)
-}
-
-// add adds an account. The caller must hold mu.
-func (b *Budget) add(a *account) {
-	a.address = b.addresses[a.host]
-	if a.address == nil {
-		a.address = &addressUse{}
-		b.addresses[a.host] = a.address
-	}
-	a.address.connections++
-	b.accounts[a] = struct{}{}
-}
-
 // endAll ends connections that were marked as ended, and wakes those that wait for memory.
 func (b *Budget) endAll(victims []*account) {
 	if len(victims) == 0 {
@@ -450,9 +427,9 @@
 		return
 	}
 	delete(b.accounts, a)
-	if a.ended {
-		b.endingConnections--
-	}
+	b.keep(a)
+	b.stopLingering(a)
+	b.placeFreed.Broadcast()
 	if a.address.connections--; a.address.connections == 0 {
 		delete(b.addresses, a.host)
 	}
--- a/internal/adapter/httpconn/conn.go
+++ b/internal/adapter/httpconn/conn.go
@@ -16,8 +16,9 @@
 	"github.com/cuminwing/cuminwing/internal/adapter/sockopt"
 )
 
-// lingerTime is how long the socket of a connection is kept after its close, so that a
-// request that crossed the close is counted. It exceeds a round trip.
+// lingerTime is how long the socket of a connection is kept after its close, so that its
+// client can read the response, and a request that crossed the close is counted. It exceeds a
+// round trip. A new connection that needs the place ends it earlier.
 const lingerTime = 200 * time.Millisecond
 
 const (
@@ -103,6 +104,9 @@
 	closed bool
 	// hijacked is set once a handler has taken over the connection.
 	hijacked bool
+	// lingerTimer ends a connection that lingers after its close, socketClosed is set then.
+	lingerTimer  *time.Timer
+	socketClosed bool
 	// acksWatched is set if checkAcks replaces TCP_USER_TIMEOUT.
 	acksWatched bool
 	acks        ackWatch
@@ -314,7 +318,8 @@
 		c.tracker.remove(c)
 		return c.TCPConn.Close()
 	}
-	time.AfterFunc(lingerTime, c.finishClose)
+	c.lingerTimer = time.AfterFunc(lingerTime, c.finishClose)
+	c.tracker.Budget.linger(c.account, c.finishClose)
 	return c.TCPConn.CloseWrite()
 }
 
@@ -326,6 +331,11 @@
 func (c *conn) finishClose() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.socketClosed {
+		return
+	}
+	c.socketClosed = true
+	c.lingerTimer.Stop()
 	if !c.endedIdle() {
 		c.discardUnread()
 	} else if unread := sockopt.UnreadBytes(c.TCPConn); unread > 0 {
--- a/internal/adapter/httpconn/conn_test.go
+++ b/internal/adapter/httpconn/conn_test.go
@@ -204,3 +204,31 @@
 		t.Errorf("read %d bytes, error %v; want the request", n, err)
 	}
 }
+
+// Guards against new connections that are reset because refused ones, whose clients may still
+// read the refusal, hold all places.
+func TestLingeringConnectionsGiveUpTheirPlaces(t *testing.T) {
+	tracker := newTestTracker(Limits{Header: time.Minute, HeadBytes: 1 << 10}, nil)
+	tracker.Count = func(string) {}
+	tracker.Budget, _ = newTestBudget(1<<20, 4)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{ConnState: tracker.ConnState, Handler: http.NotFoundHandler()}
+	go func() { _ = server.Serve(tracker.Listen(listener)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	for i := range 40 {
+		client, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer client.Close()
+		_ = client.SetDeadline(time.Now().Add(5 * time.Second))
+		// The server reads a part of it.
+		_, _ = client.Write(slices.Repeat([]byte("a"), 64<<10))
+		if response, err := io.ReadAll(client); err != nil || string(response) != tooLargeResponse {
+			t.Fatalf("connection %d: %q, %v; want the refusal", i, response, err)
+		}
+	}
+}
--- a/internal/adapter/httpconn/refuse.go
+++ b/internal/adapter/httpconn/refuse.go
@@ -121,6 +121,9 @@
 func (t *Tracker) admit(c *conn) bool {
 	c.account = newAccount(c.RemoteAddr(), func() bool { return sockopt.UnreadBytes(c.TCPConn) > 0 }, c.evict)
 	opened, evicted := t.Budget.open(c.account)
+	for range evicted {
+		t.Count("connections_ended_for_new_ones")
+	}
 	if opened {
 		return true
 	}
