front: limit connections of clients and to targets together

What callers saw: beside 320 callers that do not read their responses, a front had all 512 of its descriptors open. Then a dial, an accept or a call to the core fails, targets count as unreachable, and an engine that the front cannot probe counts as crashed.

Cause: clients may take three quarters of the descriptors, and each request in flight one more for its target; nothing limited these.

Change: the Budget of a front also counts connections to targets. Both together take seven eighths of the descriptors less 32. At the limit, closed connections that linger and then the longest idle connections to targets go first, so that a front with many targets refuses nobody for them; then a request that needs a new connection is refused with 503 no_descriptor, unless it may have run. The refusal says nothing about the target, and neither does a probe without a descriptor.

--- a/internal/adapter/httpconn/budget.go
+++ b/internal/adapter/httpconn/budget.go
@@ -42,6 +42,11 @@
 	headLimit int64
 	// maxConnections limits the open connections; 0 is no limit.
 	maxConnections int
+	// maxSockets limits the open connections and those to targets together; 0 is no limit.
+	maxSockets int
+	// closeIdle closes the connection to a target that has been idle longest. It reports false
+	// if there is none. It is called without a lock.
+	closeIdle func() bool
 
 	mu sync.Mutex
 	// changed is signaled when memory is released and when an account is ended.
@@ -56,6 +61,8 @@
 	// lingering are the accounts of the closed connections whose sockets are kept for their
 	// clients, the oldest first. They give up their places first.
 	lingering list.List
+	// outgoing counts the connections to targets.
+	outgoing int
 	// placeFreed is signaled when a connection is removed.
 	placeFreed sync.Cond
 }
--- a/internal/adapter/httpconn/places.go
+++ b/internal/adapter/httpconn/places.go
@@ -33,27 +33,23 @@
 	b.accounts[a] = struct{}{}
 }
 
-// makeRoom waits until there is a place for one more connection. It ends lingering connections
-// for it, and tells the slowest ones to end. It reports false if there are none. The caller must
-// hold mu, which is released meanwhile.
+// makeRoom waits until there is a place for one more connection of a client. It gives up
+// sockets that carry no request for it, and tells the slowest connections to end. It reports
+// false if there are none. The caller must hold mu, which is released meanwhile.
 func (b *Budget) makeRoom() (found bool, ended int) {
-	if b.maxConnections <= 0 {
-		return true, 0
-	}
 	var deadline time.Time
 	for {
-		freed := max(1, int(freedShare*float64(b.maxConnections)))
-		if b.endLingering(b.maxConnections + freed - 1) {
+		wanted, most, limited := b.connectionLimits()
+		if !limited || len(b.accounts) < wanted {
+			return true, ended
+		}
+		if len(b.accounts) >= most && b.giveUpSocket() {
 			continue
 		}
-		if len(b.accounts)-b.lingering.Len()-b.endingConnections >= b.maxConnections {
-			victims := b.slowest(nil, func(u *addressUse) int64 { return int64(u.connections) }, func(*account) int64 { return 1 }, 1, int64(freed))
-			ended += len(victims)
-			b.mu.Unlock()
-			b.endAll(victims)
-			b.mu.Lock()
+		if len(b.accounts)-b.lingering.Len()-b.endingConnections >= wanted {
+			ended += b.endSlowest(freedConnections(wanted))
 		}
-		if len(b.accounts) < b.maxConnections+freed {
+		if len(b.accounts) < most {
 			return true, ended
 		}
 		if deadline.IsZero() {
@@ -68,25 +64,93 @@
 	}
 }
 
+// connectionLimits returns the limits of connections of clients: the number from which on some
+// are told to end for a new one, and the number that is not exceeded while they end. The caller
+// must hold mu.
+func (b *Budget) connectionLimits() (wanted, most int, limited bool) {
+	if b.maxConnections <= 0 {
+		return 0, 0, false
+	}
+	wanted, most = b.maxConnections, b.maxConnections+freedConnections(b.maxConnections)
+	if b.maxSockets > 0 {
+		left := max(b.maxSockets-b.outgoing, 0)
+		wanted, most = min(wanted, left), min(most, left)
+	}
+	return wanted, most, true
+}
+
+// freedConnections is the number of connections that are ended at once if limit is reached.
+func freedConnections(limit int) int { return max(1, int(freedShare*float64(limit))) }
+
+// endSlowest tells the slowest n connections to end, and returns their number. The caller must
+// hold mu, which is released meanwhile.
+func (b *Budget) endSlowest(n int) int {
+	victims := b.slowest(nil, func(u *addressUse) int64 { return int64(u.connections) }, func(*account) int64 { return 1 }, 1, int64(n))
+	b.mu.Unlock()
+	defer b.mu.Lock()
+	b.endAll(victims)
+	return len(victims)
+}
+
 func (b *Budget) wakeNewConnections() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.placeFreed.Broadcast()
 }
 
-// endLingering ends the oldest lingering connections until no more than limit connections are
-// open. It reports whether it has ended any. The caller must hold mu, which is released
-// meanwhile.
-func (b *Budget) endLingering(limit int) (ended bool) {
-	for len(b.accounts) > limit && b.lingering.Len() > 0 {
+// giveUpSocket closes a socket that carries no request: that of the connection that has lingered
+// longest, or else an idle one to a target if these are limited. It reports false if there is
+// none. The caller must hold mu, which is released meanwhile.
+func (b *Budget) giveUpSocket() bool {
+	if b.lingering.Len() > 0 {
 		oldest := b.lingering.Front().Value.(*account)
 		b.stopLingering(oldest)
 		b.mu.Unlock()
+		defer b.mu.Lock()
 		oldest.finish()
-		b.mu.Lock()
-		ended = true
+		return true
 	}
-	return ended
+	if b.maxSockets <= 0 || len(b.accounts)+b.outgoing < b.maxSockets {
+		return false
+	}
+	b.mu.Unlock()
+	defer b.mu.Lock()
+	return b.closeIdle()
+}
+
+// LimitSockets limits the connections of clients and those to targets together. closeIdle
+// closes the connection to a target that has been idle longest, and reports false if there is
+// none. It is called before the Budget is used.
+func (b *Budget) LimitSockets(n int, closeIdle func() bool) {
+	b.maxSockets, b.closeIdle = n, closeIdle
+}
+
+// Acquire takes the descriptor of a connection to a target. It reports false if none is free.
+func (b *Budget) Acquire() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for b.maxSockets > 0 && len(b.accounts)+b.outgoing >= b.maxSockets {
+		if !b.giveUpSocket() {
+			return false
+		}
+	}
+	b.outgoing++
+	return true
+}
+
+// Release returns the descriptor of a connection to a target that is closed.
+func (b *Budget) Release() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.outgoing--
+	b.placeFreed.Broadcast()
+}
+
+// TargetConnections returns the number of open connections to targets.
+func (b *Budget) TargetConnections() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.outgoing
 }
 
 // linger records that a connection is closed and that its socket is kept for its client, until
--- a/internal/adapter/httpconn/shares.go
+++ b/internal/adapter/httpconn/shares.go
@@ -23,6 +23,11 @@
 	// connectionDescriptorFraction is the fraction of the descriptors for connections of
 	// clients. The rest is for connections to targets and other VMs, and for files.
 	connectionDescriptorFraction = 0.75
+	// socketDescriptorFraction is the fraction of the descriptors for the connections of
+	// clients and those to targets together, of which otherDescriptors are subtracted: those of
+	// listeners, files and connections to other VMs.
+	socketDescriptorFraction = 0.875
+	otherDescriptors         = 32
 )
 
 // Share returns a fraction of the memory of a process.
@@ -30,10 +35,23 @@
 
 // DescriptorConnections returns the number of connections that the descriptors of the process
 // allow; 0 if they are not limited.
-func DescriptorConnections() int {
+func DescriptorConnections() int { return int(connectionDescriptorFraction * float64(descriptors())) }
+
+// DescriptorSockets returns the number of connections of clients and to targets together that
+// the descriptors of the process allow; 0 if they are not limited.
+func DescriptorSockets() int {
+	n := descriptors()
+	if n == 0 {
+		return 0
+	}
+	return max(1, int(socketDescriptorFraction*float64(n))-otherDescriptors)
+}
+
+// descriptors returns the limit on open descriptors of the process; 0 if there is none.
+func descriptors() int {
 	var limit syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
 		return 0
 	}
-	return int(connectionDescriptorFraction * float64(limit.Cur))
+	return int(limit.Cur)
 }
--- a/internal/adapter/targetconn/pool.go
+++ b/internal/adapter/targetconn/pool.go
@@ -48,12 +48,26 @@
 // ErrNotSent means that no byte of the request can have reached the target.
 var ErrNotSent = errors.New("request was not sent")
 
+// ErrNoDescriptor means that the process has too many open connections for another one. It
+// says nothing about the target.
+var ErrNoDescriptor = errors.New("no descriptor is free for a connection to the target")
+
+// Descriptors limits the connections to targets together with the others of the process.
+type Descriptors interface {
+	// Acquire takes a descriptor. It reports false if none is free.
+	Acquire() bool
+	// Release returns a descriptor.
+	Release()
+}
+
 // Pool holds idle connections, keyed by address.
 type Pool struct {
 	// DialContext opens a connection to a target. It is set by New.
 	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 	// Memory is the budget that the heads of responses are charged to; nil if none is.
 	Memory Memory
+	// Descriptors is the limit that connections are counted towards; nil if there is none.
+	Descriptors Descriptors
 
 	mu   sync.Mutex
 	idle map[string][]*Conn
@@ -77,6 +91,8 @@
 	Reused  bool
 	limiter *headLimiter
 	address string
+	// closing closes the connection and returns its descriptor.
+	closing func() error
 	// unfinished holds the IDs of the latest requests that the target refused or failed
 	// on this connection.
 	unfinished []string
@@ -97,6 +113,9 @@
 	c.unfinished = append(c.unfinished, requestID)
 }
 
+// Close closes the connection. It may be called again, also at the same time.
+func (c *Conn) Close() error { return c.closing() }
+
 // Get returns a connection for a request. The connection has been idle for less than
 // maxIdleTime and no response to this request has arrived on it, or it is new.
 func (p *Pool) Get(ctx context.Context, address, requestID string, maxIdleTime time.Duration) (*Conn, error) {
@@ -117,7 +136,7 @@
 		if now.Before(c.expires) && idle < maxIdleTime && c.reusable() {
 			return c
 		}
-		_ = c.Conn.Close()
+		_ = c.Close()
 	}
 }
 
@@ -157,15 +176,57 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
+	if !p.acquireDescriptor() {
+		return nil, errors.Mark(ErrNoDescriptor, ErrNotSent)
+	}
 	conn, err := p.DialContext(ctx, "tcp", address)
 	if err != nil {
+		p.releaseDescriptor()
 		return nil, errors.Mark(err, ErrNotSent)
 	}
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
 	limiter := &headLimiter{conn: conn, memory: p.Memory}
-	return &Conn{Conn: conn, Reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter, address: address}, nil
+	closing := sync.OnceValue(func() error {
+		defer p.releaseDescriptor()
+		return conn.Close()
+	})
+	return &Conn{Conn: conn, Reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter, address: address, closing: closing}, nil
+}
+
+func (p *Pool) acquireDescriptor() bool { return p.Descriptors == nil || p.Descriptors.Acquire() }
+
+func (p *Pool) releaseDescriptor() {
+	if p.Descriptors != nil {
+		p.Descriptors.Release()
+	}
+}
+
+// CloseIdle closes the idle connection that would expire first. It reports false if there is
+// none.
+func (p *Pool) CloseIdle() bool {
+	p.mu.Lock()
+	var oldest *Conn
+	for _, list := range p.idle {
+		for _, c := range list {
+			if oldest == nil || c.expires.Before(oldest.expires) {
+				oldest = c
+			}
+		}
+	}
+	if oldest != nil {
+		list := p.idle[oldest.address]
+		i := slices.Index(list, oldest)
+		p.idle[oldest.address] = slices.Delete(list, i, i+1)
+	}
+	p.mu.Unlock()
+	if oldest == nil {
+		return false
+	}
+	// The descriptor is free also if this fails.
+	_ = oldest.Close()
+	return true
 }
 
 // Probe opens a connection and adds it to the pool for the next request.
@@ -184,7 +245,7 @@
 	c.ReleaseHead()
 	idleTimeout := idleTimeoutOf(resp)
 	if resp.Close || idleTimeout <= 0 || c.Reader.Buffered() > 0 {
-		_ = c.Conn.Close()
+		_ = c.Close()
 		return
 	}
 	_ = c.SetDeadline(time.Time{})
@@ -203,7 +264,7 @@
 	}
 	p.mu.Unlock()
 	if !keep {
-		_ = c.Conn.Close()
+		_ = c.Close()
 	}
 }
 
@@ -266,7 +327,7 @@
 	}
 	p.mu.Unlock()
 	for _, c := range closing {
-		_ = c.Conn.Close()
+		_ = c.Close()
 	}
 }
 
--- a/internal/adapter/targetconn/pool_test.go
+++ b/internal/adapter/targetconn/pool_test.go
@@ -187,3 +187,47 @@
 		}
 	}
 }
+
+// descriptorLimit is a Descriptors of a number of descriptors.
+type descriptorLimit struct{ free int }
+
+func (d *descriptorLimit) Acquire() bool {
+	if d.free == 0 {
+		return false
+	}
+	d.free--
+	return true
+}
+
+func (d *descriptorLimit) Release() { d.free++ }
+
+// Guards against descriptors that are not returned, or returned twice, and against connections
+// beyond the limit.
+func TestConnectionsTakeDescriptors(t *testing.T) {
+	address := listen(t, func(net.Conn) {})
+	unreachable, err := loopback.AllocateAddress()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, limit := New(), &descriptorLimit{free: 2}
+	p.Descriptors = limit
+	if _, err := p.Get(context.Background(), unreachable, "r", time.Minute); err == nil || limit.free != 2 {
+		t.Errorf("after a dial that fails with %v, %d descriptors are free, want 2", err, limit.free)
+	}
+	first, second := get(t, p, address), get(t, p, address)
+	if _, err := p.Get(context.Background(), address, "r", time.Minute); !errors.Is(err, ErrNoDescriptor) || !errors.Is(err, ErrNotSent) {
+		t.Errorf("without a descriptor the error is %v, want ErrNoDescriptor and ErrNotSent", err)
+	}
+	_ = first.Close()
+	_ = first.Close()
+	if limit.free != 1 {
+		t.Errorf("after a close, %d descriptors are free, want 1", limit.free)
+	}
+	p.Put(second, &http.Response{})
+	if !p.CloseIdle() || p.CloseIdle() {
+		t.Error("the idle connection is not closed, or another one is")
+	}
+	if limit.free != 2 {
+		t.Errorf("after both are closed, %d descriptors are free, want 2", limit.free)
+	}
+}
--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -182,7 +182,8 @@
 	f.rollouts.confirmed = func() time.Duration { return f.state.Load().Confirmed }
 	f.rollouts.count = func(name string) { f.counters.Add(name, 1) }
 	f.budget.register(f.counters)
-	f.pool.Memory = f.budget.memory
+	f.pool.Memory, f.pool.Descriptors = f.budget.memory, f.budget.connections
+	f.budget.connections.LimitSockets(httpconn.DescriptorSockets(), f.pool.CloseIdle)
 	f.meter = f.zones.meter(&f.settings, f.counters)
 	f.client = peerClient(f.meter, trafficCore)
 	f.pool.DialContext = f.meter.Dial(trafficTargets, f.pool.DialContext)
@@ -207,6 +208,7 @@
 	f.quarantine = newFrontQuarantine(f.pool.Probe, f.logger)
 	f.quarantine.leaves = f.placer.Leaves
 	f.counters.Gauge("connections_opened", func() any { return f.pool.OpenedConnections() })
+	f.counters.Gauge("target_connections", func() any { return f.budget.connections.TargetConnections() })
 	f.counters.Gauge("confirmed_age_ms", func() any { return (boottime.Now() - f.state.Load().Confirmed).Milliseconds() })
 	f.state.Store(&proxy.State{Confirmed: -time.Hour})
 	f.handler = &proxy.Handler{
--- a/internal/edge/frontquarantine.go
+++ b/internal/edge/frontquarantine.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cuminwing/cuminwing/internal/adapter/boottime"
+	"github.com/cuminwing/cuminwing/internal/adapter/targetconn"
 	"github.com/cuminwing/cuminwing/internal/pause"
 	"github.com/cuminwing/cuminwing/internal/placement"
 	"github.com/cuminwing/cuminwing/internal/proxy"
@@ -24,10 +25,10 @@
 // before the engine is probed.
 const crashGatherTime = 30 * time.Millisecond
 
-// maxResetProbes is the number of probes that may be reset until the engine no longer counts as
+// maxInconclusiveProbes is the number of probes that may be reset until the engine no longer counts as
 // crashed. A process that ends resets the connections that it had not accepted, but its port
 // refuses the next one. A faulty link resets all of them.
-const maxResetProbes = 3
+const maxInconclusiveProbes = 3
 
 // maxLoggedNames limits the requests and the parts in the log line of one crash.
 const maxLoggedNames = 32
@@ -106,7 +107,7 @@
 		q.recordComplete(ended)
 		return
 	}
-	if isReset(err) || q.leaves != nil && q.leaves(t.ID) {
+	if isInconclusive(err) || q.leaves != nil && q.leaves(t.ID) {
 		return
 	}
 	requests := make([]quarantine.SentRequest, 0, len(ended))
@@ -135,17 +136,20 @@
 	return names[:min(len(names), maxLoggedNames)]
 }
 
-// probeUntilKnown probes a target until the result is no reset, or maxResetProbes times.
+// probeUntilKnown probes a target until the result tells whether it is there, or maxInconclusiveProbes times.
 func (q *frontQuarantine) probeUntilKnown(address string) error {
 	err := q.probe(q.ctx, address)
-	for n := 1; n < maxResetProbes && isReset(err) && pause.For(q.ctx, crashGatherTime); n++ {
+	for n := 1; n < maxInconclusiveProbes && isInconclusive(err) && pause.For(q.ctx, crashGatherTime); n++ {
 		err = q.probe(q.ctx, address)
 	}
 	return err
 }
 
-// isReset reports whether a probe failed because its connection was reset.
-func isReset(err error) bool { return errors.Is(err, syscall.ECONNRESET) }
+// isInconclusive reports whether a probe failed for a reason that does not tell whether the
+// engine is there: its connection was reset, or this VM can open none.
+func isInconclusive(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, targetconn.ErrNoDescriptor)
+}
 
 // recordComplete records the requests that are complete because their engine is still there.
 func (q *frontQuarantine) recordComplete(ended []endedRequest) {
--- a/internal/proxy/outcome.go
+++ b/internal/proxy/outcome.go
@@ -25,6 +25,9 @@
 	if !time.Now().Before(c.deadline) {
 		return true, c.endFailed(&errTimeout)
 	}
+	if result == resultNoDescriptor {
+		return true, c.endWithoutDescriptor()
+	}
 	if c.reserveBackup(result) {
 		return false, nil
 	}
@@ -54,6 +57,15 @@
 	return &errNoTarget
 }
 
+// endWithoutDescriptor returns the refusal of a request for which this VM can open no
+// connection. Another target would need one, too.
+func (c *call) endWithoutDescriptor() *refusal {
+	if c.headersSent || c.possibleRuns > 0 {
+		return c.endFailed(&errTargetFailed)
+	}
+	return &errNoDescriptor
+}
+
 // notAdmitted returns the refusal of a request that no target of its service accepts at
 // present, because they all drain, pause or have reached their limits. It is nil if that
 // is not the reason. The time to retry is spread, so that callers do not return at once.
--- a/internal/proxy/refusal.go
+++ b/internal/proxy/refusal.go
@@ -69,6 +69,7 @@
 	errTargetsNotAdmitting  = refusal{http.StatusServiceUnavailable, "targets_not_admitting", targetRetryAfter}
 	errOverloaded           = refusal{http.StatusServiceUnavailable, "overloaded", targetRetryAfter}
 	errNoMemory             = refusal{http.StatusServiceUnavailable, "no_memory", targetRetryAfter}
+	errNoDescriptor         = refusal{http.StatusServiceUnavailable, "no_descriptor", targetRetryAfter}
 	errStopping             = refusal{http.StatusServiceUnavailable, "stopping", stoppingRetryAfter}
 	errQuarantined          = refusal{http.StatusServiceUnavailable, "prompt_quarantined", 0}
 	errRequestQuarantined   = refusal{http.StatusServiceUnavailable, "request_quarantined", 0}
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -49,10 +49,12 @@
 	// resultWithdrawn means that the target must not get the request any more, and that
 	// nothing was sent.
 	resultWithdrawn
+	// resultNoDescriptor means that this VM has too many connections to open one to the target.
+	resultNoDescriptor
 )
 
 func (r result) String() string {
-	return [...]string{"done", "not sent", "cancelled", "refused", "moved", "stale", "failed", "broken", "gone", "silent", "withdrawn"}[r]
+	return [...]string{"done", "not sent", "cancelled", "refused", "moved", "stale", "failed", "broken", "gone", "silent", "withdrawn", "no descriptor"}[r]
 }
 
 func (r result) mayHaveRun() bool {
@@ -62,7 +64,7 @@
 func (r result) placement() placement.Result {
 	return [...]placement.Result{
 		placement.Completed, placement.Unreachable, placement.Unused, placement.Rejected, placement.Misdirected, placement.Canceled,
-		placement.Failed, placement.Failed, placement.Abandoned, placement.Silent, placement.Unused,
+		placement.Failed, placement.Failed, placement.Abandoned, placement.Silent, placement.Unused, placement.Unused,
 	}[r]
 }
 
@@ -100,6 +102,9 @@
 		if ctx.Err() != nil {
 			return resultCanceledUnsent
 		}
+		if errors.Is(err, targetconn.ErrNoDescriptor) {
+			return resultNoDescriptor
+		}
 		return resultNotSent
 	}
 	pooled := false
@@ -109,17 +114,17 @@
 		}
 	}()
 	if c.comesTooLate() {
-		_ = conn.Conn.Close()
+		_ = conn.Close()
 		c.reason = "the shutdown came before the request was sent"
 		return resultCanceledUnsent
 	}
 	// The connection may have taken long.
 	if !c.Placer.MaySend(choice) {
-		_ = conn.Conn.Close()
+		_ = conn.Close()
 		return c.withdrawn()
 	}
 	s := &exchange{call: c, conn: conn, choice: choice, context: ctx, began: time.Now()}
-	stop := context.AfterFunc(ctx, func() { _ = conn.Conn.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	result := s.roundTrip()
 	// If it has begun, the close may take effect at any later time.
 	closing := !stop()
@@ -130,7 +135,7 @@
 		s.observeWait(false)
 	}
 	if closing || s.reusableAfter == nil || !s.bodyWritten() {
-		_ = conn.Conn.Close()
+		_ = conn.Close()
 		return result
 	}
 	if result != resultDelivered {
@@ -176,7 +181,7 @@
 }
 
 func (s *exchange) roundTrip() result {
-	s.stall = s.newStallTimer(func() { _ = s.conn.Conn.Close() })
+	s.stall = s.newStallTimer(func() { _ = s.conn.Close() })
 	defer func() { s.reserved = s.stall.stop() }()
 	head := s.requestHead()
 	if err := s.write(head); err != nil {
