callerhttp: charge streams of HTTP/2 until their responses are written

Cause: such a head is over max_header_bytes once it is decoded, and refused. The handler returns, and its charge is released. The server keeps the stream, with the request and its header, until the response is written: a heap profile has 109 of 151 MB in the headers, and 1,770 goroutines wait there.

Change: a stream is charged from its start until its response is written, and the header is dropped once the handler has returned. Without memory, 64 streams at a time get 503, and others are reset. A connection that takes no byte for 30 s is closed, and a stream whose client does not take the end of the response for as long is reset, so that they do not keep their charge.

--- a/internal/adapter/callerhttp/memory.go
+++ b/internal/adapter/callerhttp/memory.go
@@ -21,8 +21,6 @@
 	freeResponseBytes = 64 << 10
 	// bodyChargeBytes is how much of a body is charged at once.
 	bodyChargeBytes = 32 << 10
-	// streamBytes is what a stream of HTTP/2 takes besides its head: its goroutine and buffers.
-	streamBytes = 16 << 10
 	// headerLineCost is what a header line takes besides its bytes, as for HTTP/1.1 without
 	// TLS, where the connection is charged.
 	headerLineCost = 256
@@ -60,9 +58,6 @@
 		return func() {}, true
 	}
 	cost := int64(headerBytes(r))
-	if r.ProtoMajor >= 2 {
-		cost += streamBytes
-	}
 	for _, values := range r.Header {
 		cost += headerLineCost * int64(len(values))
 	}
--- a/internal/adapter/callerhttp/server.go
+++ b/internal/adapter/callerhttp/server.go
@@ -47,6 +47,8 @@
 	Bodies, Heads Memory
 
 	activeRequests atomic.Int64
+	// refusedStreams counts the streams that are being refused because no memory is free.
+	refusedStreams atomic.Int64
 	concurrency    concurrencyLimiter
 }
 
@@ -59,7 +61,7 @@
 	mux.HandleFunc("POST /v1/chat/completions", s.withCommonChecks(s.serveCompletions))
 	mux.HandleFunc("POST /v1/completions", s.withCommonChecks(s.serveCompletions))
 	services := s.withCommonChecks(s.serveService)
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return s.chargeStreams(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		// Handlers that read the body set a limit of their own.
 		limitUnreadBody(w)
 		// ServeMux redirects paths that are not in canonical form, which would
@@ -69,7 +71,7 @@
 			return
 		}
 		mux.ServeHTTP(w, r)
-	})
+	}))
 }
 
 // isServicePath reports whether path is not one of the router's own endpoints.
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -8,6 +8,7 @@
 	"runtime/debug"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -154,7 +155,14 @@
 	}
 }
 
+// http2WriteTime limits how long a connection with HTTP/2 may take no byte that the server
+// writes.
+const http2WriteTime = 30 * time.Second
+
 // http2Limits returns the limits of connections with HTTP/2.
 func http2Limits() *http.HTTP2Config {
-	return &http.HTTP2Config{MaxReceiveBufferPerConnection: httpconn.HTTP2ReceiveBytes, MaxReceiveBufferPerStream: httpconn.HTTP2ReceiveBytes}
+	return &http.HTTP2Config{
+		MaxReceiveBufferPerConnection: httpconn.HTTP2ReceiveBytes, MaxReceiveBufferPerStream: httpconn.HTTP2ReceiveBytes,
+		WriteByteTimeout: http2WriteTime,
+	}
 }
