--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -135,3 +137,46 @@
 	s.succeeded = resp.StatusCode < http.StatusMultipleChoices
 	return resultDelivered
 }
+
+// impliesNotRun reports whether a status lets callers conclude that the request
+// has not run.
+func impliesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// statedLength returns the length that the caller is told; empty for none. A response to
+// HEAD states the length of the response to GET, if the target has stated it.
+func (b *bufferedResponse) statedLength(method string) string {
+	if method == http.MethodHead {
+		return b.header.Get("Content-Length")
+	}
+	return strconv.Itoa(len(b.body))
+}
+
+func (b *bufferedResponse) write(c *call) {
+	c.Codec.CopyResponseHeaders(c.w.Header(), b.header)
+	if length := b.statedLength(c.r.Method); length != "" {
+		c.w.Header().Set("Content-Length", length)
+	}
+	c.firstByteAfter = time.Since(c.started)
+	c.headersSent = true
+	c.endConnection()
+	c.limitWrites()
+	c.w.WriteHeader(b.status)
+	if _, err := c.w.Write(b.body); err != nil {
+		c.addReason("write to caller failed: " + err.Error())
+	}
+}
+
+// limitWrites ends the writes to the caller at its deadline, because a caller that keeps its
+// connection and reads nothing would hold the response for ever. http.Server clears the
+// limit after the response.
+func (c *call) limitWrites() {
+	limit := max(time.Until(c.started.Add(c.callerLimit())), minWriteTime)
+	// It fails only if the caller has disconnected.
+	_ = http.NewResponseController(c.w).SetWriteDeadline(time.Now().Add(limit))
+}
