front: offer the places of refused requests whose bodies are still discarded

What callers saw: beside 640 callers without a key that announce a body of 400,000 bytes and do not send it, no ordinary request was answered: 0 of 149, all connections were reset.

Cause: a refused caller gets its response at once, and then the front reads the rest of the body for up to 10 s, so that the response is not lost by a reset. The connection counts as one with a request meanwhile, and is never told to end. 408 such connections hold all places.

Change: the place of such a connection is offered: a new connection that needs one takes it, the oldest first, together with those of closed connections. The place is free, and its memory no longer counted, once the server has ended the connection. The readiness and metrics ports, which share the limit, offer the places of answered requests with bodies in the same way. A new connection waits up to 700 ms instead of 500, longer than http.Server keeps a connection.

--- a/internal/adapter/httpconn/budget.go
+++ b/internal/adapter/httpconn/budget.go
@@ -58,8 +58,11 @@
 	heads, ending int64
 	// endingConnections counts the connections that have been ended and are not closed yet.
 	endingConnections int
+	// closedSockets counts those of them whose sockets are closed.
+	closedSockets int
 	// lingering are the accounts of the closed connections whose sockets are kept for their
-	// clients, the oldest first. They give up their places first.
+	// clients, and of those whose places were offered, the oldest first. They give up their
+	// places first.
 	lingering list.List
 	// outgoing counts the connections to targets.
 	outgoing int
@@ -96,8 +99,11 @@
 	// another reason.
 	ended    bool
 	stopping bool
-	closed   bool
-	// finish closes the socket of a lingering connection. It is called without a lock.
+	// socketClosed is set if the socket is closed before the server has ended the connection.
+	socketClosed bool
+	closed       bool
+	// finish closes the socket of a lingering connection, or of one whose place was offered. It
+	// is called without a lock.
 	// lingers is the place of the connection in the list of those.
 	finish  func()
 	lingers *list.Element
@@ -344,6 +350,7 @@
 		return
 	}
 	b.leaveHeads(a)
+	b.stopLingering(a)
 	b.memory.Release(a.cost)
 	a.cost, a.waiting, a.whole, a.since = 0, true, false, time.Now()
 	b.changed.Broadcast()
@@ -436,6 +443,9 @@
 	delete(b.accounts, a)
 	b.keep(a)
 	b.stopLingering(a)
+	if a.socketClosed {
+		b.closedSockets--
+	}
 	b.placeFreed.Broadcast()
 	if a.address.connections--; a.address.connections == 0 {
 		delete(b.addresses, a.host)
--- /dev/null
+++ b/internal/adapter/httpconn/offer_test.go
@@ -0,0 +1,53 @@
+package httpconn
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// Guards against places that refused requests hold as long as their clients send bodies that
+// nobody needs, and against a connection whose place is taken although it carries on.
+func TestOfferedPlacesAreTaken(t *testing.T) {
+	tracker := newTestTracker(Limits{Header: time.Minute, HeadBytes: 1 << 10}, nil)
+	tracker.Count = func(string) {}
+	tracker.Budget, _ = newTestBudget(1<<20, 2)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{ConnState: tracker.ConnState, ConnContext: tracker.ConnContext, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		control := http.NewResponseController(w)
+		// Otherwise the server reads the body before it sends the response.
+		_ = control.EnableFullDuplex()
+		w.WriteHeader(http.StatusUnauthorized)
+		_ = control.Flush()
+		if r.ContentLength != 0 {
+			taken := OfferPlace(r.Context())
+			if _, err := io.Copy(io.Discard, r.Body); err != nil && taken() {
+				panic(http.ErrAbortHandler)
+			}
+		}
+	})}
+	go func() { _ = server.Serve(tracker.Listen(listener)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	for i := range 20 {
+		client, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer client.Close()
+		_ = client.SetDeadline(time.Now().Add(5 * time.Second))
+		_, _ = client.Write([]byte("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n"))
+		response, err := http.ReadResponse(bufio.NewReader(client), nil)
+		if err != nil || response.StatusCode != http.StatusUnauthorized {
+			t.Fatalf("connection %d: %v, %v; want the refusal", i, response, err)
+		}
+	}
+	for tracker.Budget.Connections() > 3 {
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/adapter/httpconn/places.go
+++ b/internal/adapter/httpconn/places.go
@@ -3,8 +3,9 @@
 import "time"
 
 // placeWaitTime limits the wait of a new connection for the end of those that were told to
-// end for it. Meanwhile its listener accepts no other connection.
-const placeWaitTime = 500 * time.Millisecond
+// end for it. Meanwhile its listener accepts no other connection. It exceeds the time for which
+// http.Server keeps a connection whose body it has not read.
+const placeWaitTime = 700 * time.Millisecond
 
 // open adds the account of a new connection. It makes room for it and waits for that. It
 // reports false if there is none; ended is the number of connections that were told to end.
@@ -43,7 +44,7 @@
 		if !limited || len(b.accounts) < wanted {
 			return true, ended
 		}
-		if len(b.accounts) >= most && b.giveUpSocket() {
+		if len(b.accounts)-b.closedSockets >= most && b.giveUpSocket() {
 			continue
 		}
 		if len(b.accounts)-b.lingering.Len()-b.endingConnections >= wanted {
@@ -98,63 +99,7 @@
 	b.placeFreed.Broadcast()
 }
 
-// giveUpSocket closes a socket that carries no request: that of the connection that has lingered
-// longest, or else an idle one to a target if these are limited. It reports false if there is
-// none. The caller must hold mu, which is released meanwhile.
-func (b *Budget) giveUpSocket() bool {
-	if b.lingering.Len() > 0 {
-		oldest := b.lingering.Front().Value.(*account)
-		b.stopLingering(oldest)
-		b.mu.Unlock()
-		defer b.mu.Lock()
-		oldest.finish()
-		return true
-	}
-	if b.maxSockets <= 0 || len(b.accounts)+b.outgoing < b.maxSockets {
-		return false
-	}
-	b.mu.Unlock()
-	defer b.mu.Lock()
-	return b.closeIdle()
-}
-
-// LimitSockets limits the connections of clients and those to targets together. closeIdle
-// closes the connection to a target that has been idle longest, and reports false if there is
-// none. It is called before the Budget is used.
-func (b *Budget) LimitSockets(n int, closeIdle func() bool) {
-	b.maxSockets, b.closeIdle = n, closeIdle
-}
-
-// Acquire takes the descriptor of a connection to a target. It reports false if none is free.
-func (b *Budget) Acquire() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for b.maxSockets > 0 && len(b.accounts)+b.outgoing >= b.maxSockets {
-		if !b.giveUpSocket() {
-			return false
-		}
-	}
-	b.outgoing++
-	return true
-}
-
-// Release returns the descriptor of a connection to a target that is closed.
-func (b *Budget) Release() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.outgoing--
-	b.placeFreed.Broadcast()
-}
-
-// TargetConnections returns the number of open connections to targets.
-func (b *Budget) TargetConnections() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.outgoing
-}
-
-// linger records that a connection is closed and that its socket is kept for its client, until
-// finish is called.
+// linger records that a connection is kept for its client only, until finish is called.
 func (b *Budget) linger(a *account, finish func()) {
 	if b == nil {
 		return
@@ -165,6 +110,7 @@
 		return
 	}
 	b.keep(a)
+	b.stopLingering(a)
 	a.finish = finish
 	a.lingers = b.lingering.PushBack(a)
 	b.placeFreed.Broadcast()
@@ -177,3 +123,19 @@
 		a.lingers = nil
 	}
 }
+
+// recordSocketClosed records that the socket of a connection is closed, which the server still
+// has to end.
+func (b *Budget) recordSocketClosed(a *account) {
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if _, open := b.accounts[a]; !open || a.ended {
+		return
+	}
+	a.ended, a.socketClosed = true, true
+	b.endingConnections++
+	b.closedSockets++
+}
--- a/internal/edge/budget.go
+++ b/internal/edge/budget.go
@@ -58,7 +58,7 @@
 		Limits: func() httpconn.Limits { return limits }, Logger: logger, Budget: b.connections,
 		Count: func(event string) { set.Add(name+"_"+event, 1) },
 	}
-	server := &http.Server{Handler: httpconn.LimitUnreadBodies(handler), ConnState: tracker.ConnState, MaxHeaderBytes: internalHeadBytes, ErrorLog: zap.NewStdLog(logger)}
+	server := &http.Server{Handler: httpconn.LimitUnreadBodies(handler), ConnState: tracker.ConnState, ConnContext: tracker.ConnContext, MaxHeaderBytes: internalHeadBytes, ErrorLog: zap.NewStdLog(logger)}
 	go serveUntilClosed(logger, server, tracker.Listen(listener))
 	return server
 }
--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -214,7 +214,7 @@
 	f.handler = &proxy.Handler{
 		Codec: options.Codec, State: f.servingState,
 		Placer: f.rollouts, Quarantine: f.quarantine, Quota: f.shares, Pool: f.pool, Logger: f.logger, BootClock: boottime.Now,
-		Memory:   f.budget.memory,
+		Memory: f.budget.memory, OfferPlace: httpconn.OfferPlace,
 		Overload: f.overload,
 		KeyLease: s.Guarantees.KeyRevocation - keyValidityMargin, DenialLease: s.Guarantees.DocumentDelay, StateExpected: f.stateExpected, Shutdown: f.stop, Observe: f.recordRequest,
 		CountBackup: func(e proxy.BackupEvent) { f.counters.Add("stream_backups_"+e.String(), 1) },
@@ -309,7 +309,7 @@
 // connections, and the handler limits the headers.
 func (f *Front) newServer() *http.Server {
 	return &http.Server{
-		Handler: f.handler, MaxHeaderBytes: maxReadHeaderBytes, ConnState: f.callers.ConnState,
+		Handler: f.handler, MaxHeaderBytes: maxReadHeaderBytes, ConnState: f.callers.ConnState, ConnContext: f.callers.ConnContext,
 		ErrorLog: zap.NewStdLog(f.logger),
 	}
 }
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -30,7 +30,11 @@
 	Pool     *targetconn.Pool
 	// Memory limits the memory for bodies of requests and responses.
 	Memory *MemoryBudget
-	Logger *zap.Logger
+	// OfferPlace lets a new connection take the place of that of a request which has its
+	// response, while the rest of its body is read. taken reports whether that has happened.
+	// It may be nil.
+	OfferPlace func(ctx context.Context) (taken func() bool)
+	Logger     *zap.Logger
 	// BootClock returns the time of a clock that continues during a suspension.
 	BootClock func() time.Duration
 	// KeyLease is how long keys are accepted after the state was last
--- a/internal/proxy/incoming.go
+++ b/internal/proxy/incoming.go
@@ -80,6 +80,10 @@
 		requestbody.CloseConnection(c.w)
 		return
 	}
+	taken := func() bool { return false }
+	if c.OfferPlace != nil {
+		taken = c.OfferPlace(c.r.Context())
+	}
 	limit := c.request.Timeout
 	if limit <= 0 {
 		limit = maxDiscardTime
@@ -88,6 +92,10 @@
 	defer cancel()
 	defer c.limitBodyRead(ctx)()
 	if _, err := io.CopyN(io.Discard, c.r.Body, maxDiscardedRequestBytes); !errors.Is(err, io.EOF) {
+		if taken() {
+			// The server would keep the connection for half a second.
+			panic(http.ErrAbortHandler)
+		}
 		// Otherwise the server takes the rest of the body for a request.
 		requestbody.CloseConnection(c.w)
 	}
