--- a/internal/adapter/httpconn/budget_test.go
+++ b/internal/adapter/httpconn/budget_test.go
@@ -426,14 +426,7 @@
 	for range 4 {
 		tracker := newTestTracker(Limits{Header: time.Minute, HeadBytes: 1 << 10}, nil)
 		tracker.Count, tracker.Budget = func(string) {}, budget
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		server := &http.Server{ConnState: tracker.ConnState, Handler: http.NotFoundHandler()}
-		go func() { _ = server.Serve(tracker.Listen(listener)) }()
-		t.Cleanup(func() { _ = server.Close() })
-		addresses = append(addresses, listener.Addr().String())
+		addresses = append(addresses, serveTracked(t, tracker, http.NotFoundHandler()))
 	}
 	var clients sync.WaitGroup
 	for _, address := range addresses {
--- a/internal/adapter/httpconn/conn_test.go
+++ b/internal/adapter/httpconn/conn_test.go
@@ -205,26 +205,40 @@
 	}
 }
 
-// Guards against new connections that are reset because refused ones, whose clients may still
-// read the refusal, hold all places.
-func TestLingeringConnectionsGiveUpTheirPlaces(t *testing.T) {
-	tracker := newTestTracker(Limits{Header: time.Minute, HeadBytes: 1 << 10}, nil)
-	tracker.Count = func(string) {}
-	tracker.Budget, _ = newTestBudget(1<<20, 4)
+// serveTracked serves a handler on connections that the tracker keeps, and returns the address.
+func serveTracked(t *testing.T, tracker *Tracker, handler http.Handler) string {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &http.Server{ConnState: tracker.ConnState, Handler: http.NotFoundHandler()}
+	server := &http.Server{ConnState: tracker.ConnState, ConnContext: tracker.ConnContext, Handler: handler}
 	go func() { _ = server.Serve(tracker.Listen(listener)) }()
 	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
+// dialTracked connects to such a server.
+func dialTracked(t *testing.T, address string) net.Conn {
+	t.Helper()
+	client, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = client.Close() })
+	_ = client.SetDeadline(time.Now().Add(5 * time.Second))
+	return client
+}
+
+// Guards against new connections that are reset because refused ones, whose clients may still
+// read the refusal, hold all places.
+func TestLingeringConnectionsGiveUpTheirPlaces(t *testing.T) {
+	tracker := newTestTracker(Limits{Header: time.Minute, HeadBytes: 1 << 10}, nil)
+	tracker.Count = func(string) {}
+	tracker.Budget, _ = newTestBudget(1<<20, 4)
+	address := serveTracked(t, tracker, http.NotFoundHandler())
 	for i := range 40 {
-		client, err := net.Dial("tcp", listener.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer client.Close()
-		_ = client.SetDeadline(time.Now().Add(5 * time.Second))
+		client := dialTracked(t, address)
 		// The server reads a part of it.
 		_, _ = client.Write(slices.Repeat([]byte("a"), 64<<10))
 		if response, err := io.ReadAll(client); err != nil || string(response) != tooLargeResponse {
--- a/internal/adapter/httpconn/offer_test.go
+++ b/internal/adapter/httpconn/offer_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"io"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -15,11 +14,7 @@
 	tracker := newTestTracker(Limits{Header: time.Minute, HeadBytes: 1 << 10}, nil)
 	tracker.Count = func(string) {}
 	tracker.Budget, _ = newTestBudget(1<<20, 2)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	server := &http.Server{ConnState: tracker.ConnState, ConnContext: tracker.ConnContext, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	address := serveTracked(t, tracker, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		control := http.NewResponseController(w)
 		// Otherwise the server reads the body before it sends the response.
 		_ = control.EnableFullDuplex()
@@ -31,16 +26,9 @@
 				panic(http.ErrAbortHandler)
 			}
 		}
-	})}
-	go func() { _ = server.Serve(tracker.Listen(listener)) }()
-	t.Cleanup(func() { _ = server.Close() })
+	}))
 	for i := range 20 {
-		client, err := net.Dial("tcp", listener.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer client.Close()
-		_ = client.SetDeadline(time.Now().Add(5 * time.Second))
+		client := dialTracked(t, address)
 		_, _ = client.Write([]byte("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n"))
 		response, err := http.ReadResponse(bufio.NewReader(client), nil)
 		if err != nil || response.StatusCode != http.StatusUnauthorized {
--- a/internal/adapter/httpconn/places_test.go
+++ b/internal/adapter/httpconn/places_test.go
@@ -2,19 +2,25 @@
 
 import "testing"
 
-// Guards against descriptors that do not suffice for connections to targets, although some are
-// held by connections that carry no request.
-func TestTargetConnectionsTakeThePlacesOfIdleOnes(t *testing.T) {
-	b, _ := newTestBudget(1000, 100)
-	idle := 0
-	b.LimitSockets(6, func() bool {
-		if idle == 0 {
+// limitSockets limits the sockets of b. idle is the number of connections to targets that are
+// idle, and counted by b.
+func limitSockets(b *Budget, n int, idle *int) {
+	b.LimitSockets(n, func() bool {
+		if *idle == 0 {
 			return false
 		}
-		idle--
+		*idle--
 		b.Release()
 		return true
 	})
+}
+
+// Guards against descriptors that do not suffice for connections to targets, although some are
+// held by connections that carry no request.
+func TestTargetConnectionsTakeThePlacesOfIdleOnes(t *testing.T) {
+	b, _ := newTestBudget(1000, 100)
+	idle := 0
+	limitSockets(b, 6, &idle)
 	for range 3 {
 		openTest(b, "10.0.0.1")
 	}
@@ -40,14 +46,7 @@
 func TestNewConnectionsTakeThePlacesOfIdleOnes(t *testing.T) {
 	b, _ := newTestBudget(1000, 100)
 	idle := 2
-	b.LimitSockets(4, func() bool {
-		if idle == 0 {
-			return false
-		}
-		idle--
-		b.Release()
-		return true
-	})
+	limitSockets(b, 4, &idle)
 	b.Acquire()
 	b.Acquire()
 	var first *account
