--- a/internal/adapter/httpconn/budget.go
+++ b/internal/adapter/httpconn/budget.go
@@ -58,7 +58,7 @@
 	heads, ending int64
 	// endingConnections counts the connections that have been ended and are not closed yet.
 	endingConnections int
-	// closedSockets counts those of them whose sockets are closed.
+	// closedSockets counts the ending connections whose sockets are closed already.
 	closedSockets int
 	// lingering are the accounts of the closed connections whose sockets are kept for their
 	// clients, and of those whose places were offered, the oldest first. They give up their
@@ -104,8 +104,8 @@
 	closed       bool
 	// finish closes the socket of a lingering connection, or of one whose place was offered. It
 	// is called without a lock.
-	// lingers is the place of the connection in the list of those.
-	finish  func()
+	finish func()
+	// lingers is the element of the list of such connections.
 	lingers *list.Element
 }
 
--- a/internal/edge/frontquarantine.go
+++ b/internal/edge/frontquarantine.go
@@ -25,8 +25,8 @@
 // before the engine is probed.
 const crashGatherTime = 30 * time.Millisecond
 
-// maxInconclusiveProbes is the number of probes that may be reset until the engine no longer counts as
-// crashed. A process that ends resets the connections that it had not accepted, but its port
+// maxInconclusiveProbes is the number of inconclusive probes after which the engine no longer
+// counts as crashed. A process that ends resets the connections that it had not accepted, but its port
 // refuses the next one. A faulty link resets all of them.
 const maxInconclusiveProbes = 3
 
@@ -136,7 +136,8 @@
 	return names[:min(len(names), maxLoggedNames)]
 }
 
-// probeUntilKnown probes a target until the result tells whether it is there, or maxInconclusiveProbes times.
+// probeUntilKnown probes a target until the result tells whether it is there, or
+// maxInconclusiveProbes times.
 func (q *frontQuarantine) probeUntilKnown(address string) error {
 	err := q.probe(q.ctx, address)
 	for n := 1; n < maxInconclusiveProbes && isInconclusive(err) && pause.For(q.ctx, crashGatherTime); n++ {
