quarantine: parts with long or odd names are evidence, by a digest of fixed size

Callers saw engines crash without end under requests with a part whose name has 298 bytes: it was never quarantined. The front left out names over 256 bytes, empty ones, ones that are not UTF-8 and ones that look like the key of a request, so a caller chose by the name whether its part could be found.

A part is now identified by its name if that is plain and has 32 bytes at most, and by a digest of 27 bytes otherwise. Nothing is left out for its name. Core members still accept names of 256 bytes from fronts of the version before and use the same IDs for them; fronts honour long names that an older leader has quarantined.

--- a/internal/edge/corequarantine.go
+++ b/internal/edge/corequarantine.go
@@ -60,7 +60,7 @@
 		e.tracker.RecordCrash(now, decodeCrash(c, now))
 	}
 	for _, c := range report.GetCompletions() {
-		e.tracker.RecordCompletion(now, quarantine.Completion{Suspect: c.GetSuspect(), At: now - fromMilliseconds(c.GetAgeMs())})
+		e.tracker.RecordCompletion(now, quarantine.Completion{Suspect: quarantine.ReportedID(c.GetSuspect()), At: now - fromMilliseconds(c.GetAgeMs())})
 	}
 }
 
--- a/internal/edge/frontquarantine.go
+++ b/internal/edge/frontquarantine.go
@@ -190,7 +190,10 @@
 func decodeCrash(c *followv1.EngineCrash, now time.Duration) quarantine.Crash {
 	crash := quarantine.Crash{Engine: c.GetEngine(), At: now - fromMilliseconds(c.GetAgeMs())}
 	for _, r := range c.GetRequests() {
-		request := quarantine.BrokenRequest{Request: quarantine.Request{Key: r.GetKey(), Parts: r.GetParts()}, Resent: r.GetResent()}
+		request := quarantine.BrokenRequest{Request: quarantine.Request{Key: r.GetKey()}, Resent: r.GetResent()}
+		for _, part := range r.GetParts() {
+			request.Parts = append(request.Parts, quarantine.ReportedID(part))
+		}
 		if r.GetSentAgeMs() > 0 {
 			request.SentAt = now - fromMilliseconds(r.GetSentAgeMs())
 		}
--- a/internal/edge/shareswire.go
+++ b/internal/edge/shareswire.go
@@ -41,6 +41,9 @@
 	// maxReportedCrashes and maxReportedSuspects limit the evidence in one report.
 	maxReportedCrashes  = 256
 	maxReportedSuspects = 1024
+	// maxSuspectBytes limits the names of suspects. Fronts of the version before send names of
+	// parts that are longer than those in the evidence.
+	maxSuspectBytes = 256
 )
 
 // checkEvidence returns an error if the evidence on crashes cannot be used.
@@ -70,7 +73,7 @@
 // isUnusablePart reports whether the name of a part is too long or looks like a request.
 func isUnusablePart(name string) bool { return isLongName(name) || quarantine.IsRequestKey(name) }
 
-func isLongName(name string) bool { return len(name) > quarantine.MaxNameBytes }
+func isLongName(name string) bool { return len(name) > maxSuspectBytes }
 
 // isAge reports whether a number of milliseconds can be the age of an event.
 func isAge(ms float64) bool { return ms >= 0 && ms <= float64(24*time.Hour/time.Millisecond) }
--- /dev/null
+++ b/internal/quarantine/limits_test.go
@@ -0,0 +1,47 @@
+package quarantine
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// Guards against a fatal part that is not found because of its name, which callers choose, or
+// because it stands before many others, and against the rejection of sound parts whose names
+// are similar.
+func TestFatalPartIsFoundWhateverItsName(t *testing.T) {
+	long := strings.Repeat("x", 12000)
+	for i, fatal := range []string{strings.Repeat("x", 33), strings.Repeat("y", 257), strings.Repeat("z", 298), long, "", "\xff\xfe", "request:forged", "part:forged", "größe"} {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			f := newTestFleet(t, 3)
+			s := session{f, append(names("session-", 5), long+"y", "\xff", "forged")}
+			arrivals := f.sendFatal(fatal, func(int) []string { return s.parts }, s.running, s.complete)
+			f.check(arrivals, f.request(s.parts...))
+			for _, name := range f.quarantined {
+				if len(name) > MaxNameBytes {
+					t.Errorf("a name of %d bytes is quarantined, want %d at most", len(name), MaxNameBytes)
+				}
+			}
+		})
+	}
+}
+
+// Guards against parts with long names that are admitted again when a front is newer than the
+// leader that has quarantined them, and against two IDs of one part in the reports of fronts of
+// two versions.
+func TestNamesOfTheVersionBefore(t *testing.T) {
+	long := strings.Repeat("x", 200)
+	o, _ := newTestObserver()
+	o.SetQuarantined([]string{long})
+	if got := o.Decide(Request{Key: RequestKey("r"), Parts: []string{long}}); got.Verdict != Quarantined {
+		t.Errorf("a part with a long name that an older leader has quarantined gets %v", got)
+	}
+	for _, id := range []string{"part", RequestKey("r"), partID(long)} {
+		if got := ReportedID(id); got != id {
+			t.Errorf("%q is reported as %q", id, got)
+		}
+	}
+	if got := ReportedID(long); got != partID(long) {
+		t.Errorf("the name that an older front reports is %q, want the digest %q", got, partID(long))
+	}
+}
--- a/internal/quarantine/observer.go
+++ b/internal/quarantine/observer.go
@@ -2,9 +2,9 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"time"
-	"unicode/utf8"
 )
 
 const (
@@ -64,8 +64,8 @@
 		return Decision{Quarantined, r.Key, Time}
 	}
 	for _, part := range r.Parts {
-		if o.quarantined[part] {
-			return Decision{Quarantined, part, Time}
+		if suspect, ok := o.quarantinedPart(part); ok {
+			return Decision{Quarantined, suspect, Time}
 		}
 	}
 	since, suspected := o.suspectedSince[r.Key]
@@ -75,6 +75,18 @@
 	return Decision{}
 }
 
+// quarantinedPart returns the quarantined suspect that a part is. Leaders of the version before
+// quarantine the names of parts as they are.
+func (o *Observer) quarantinedPart(name string) (string, bool) {
+	if len(o.quarantined) == 0 {
+		return "", false
+	}
+	if id := partID(name); o.quarantined[id] {
+		return id, true
+	}
+	return name, o.quarantined[name] && !IsRequestKey(name)
+}
+
 // SetQuarantined replaces the quarantined requests and parts.
 func (o *Observer) SetQuarantined(suspects []string) {
 	set := make(map[string]bool, len(suspects))
@@ -182,10 +194,13 @@
 	return list
 }
 
-// usableParts returns the first of the parts that can be in a report.
+// usableParts returns the IDs of the first parts of a request.
 func usableParts(parts []string) []string {
-	usable := slices.DeleteFunc(slices.Clone(parts), isUnusable)
-	return usable[:min(len(usable), MaxParts)]
+	ids := make([]string, 0, min(len(parts), MaxParts))
+	for _, name := range parts[:min(len(parts), MaxParts)] {
+		ids = append(ids, strings.Clone(partID(name)))
+	}
+	return ids
 }
 
 // bytes returns the size of the names of the request.
@@ -197,11 +212,6 @@
 	return size
 }
 
-// isUnusable reports whether a name, which callers choose, cannot be part of a report.
-func isUnusable(part string) bool {
-	return part == "" || len(part) > MaxNameBytes || !utf8.ValidString(part) || IsRequestKey(part)
-}
-
 // ReportDue returns a channel that signals that a crash has to be reported at once.
 func (o *Observer) ReportDue() <-chan struct{} { return o.due }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -17,12 +17,8 @@
 // Time is how long a request or part stays quarantined.
 const Time = time.Hour
 
-// MaxNameBytes limits the names of parts, and the keys of requests, that are tracked.
 // MaxParts limits the parts of one request.
-const (
-	MaxNameBytes = 256
-	MaxParts     = 64
-)
+const MaxParts = 64
 
 // requestPrefix distinguishes the keys of requests from the names of parts, which
 // contain no colon.
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -75,7 +75,13 @@
 	return names
 }
 
-func (r *RequestRecord) request() Request { return Request{Key: r.Key, Parts: r.Parts} }
+func (r *RequestRecord) request() Request {
+	request := Request{Key: r.Key}
+	for _, part := range r.Parts {
+		request.Parts = append(request.Parts, ReportedID(part))
+	}
+	return request
+}
 
 // bytes returns the size of the names in the crash.
 func (c *CrashRecord) bytes() int {
