quarantine: all parts of a request are evidence, however many there are

The front reported the first 64 parts of a request and no others, and of a crash the requests that fitted into 64 KB in their order, so a caller chose by the position of a part, and by the size of other requests, whether it could be found.

A front now reports a request in chunks of 64 parts with their positions, and a crash in pieces of 32 KB, over several reports where needed. Parts of one crash are limited to 65,536 for each front, by equal shares of the requests: parts that have completed at this front lose first, others by turns, suspected ones never. What a front keeps for the next leader is limited in parts; the largest crash loses first. Whether a request has a part is now known from the evidence on the part. internal/quarantine/limits.go says who loses what. The wire format of evidence has a file of its own.

TestFatalPartIsFoundBehindAnyNumberOfParts fails before behind 64, 65, 300, 1,000 and 4,000 parts (32 requests reach engines, 8 may), as does TestRequestsWithManyPartsPushOutNoEvidence (0 of the 61 parts of a request reported); both pass.

--- a/internal/edge/frontquarantine.go
+++ b/internal/edge/frontquarantine.go
@@ -18,7 +18,6 @@
 	"github.com/cuminwing/cuminwing/internal/placement"
 	"github.com/cuminwing/cuminwing/internal/proxy"
 	"github.com/cuminwing/cuminwing/internal/quarantine"
-	followv1 "github.com/cuminwing/cuminwing/proto/follow/v1"
 )
 
 // crashGatherTime is how long the requests that break off at an engine are gathered
@@ -167,37 +166,3 @@
 	var netErr net.Error
 	return errors.As(err, &netErr) && netErr.Timeout()
 }
-
-// encodeEvidence adds the evidence of a front to its report.
-func encodeEvidence(report *followv1.FrontReport, r quarantine.Report, now time.Duration) {
-	for _, c := range r.Crashes {
-		crash := &followv1.EngineCrash{Engine: c.Engine, AgeMs: milliseconds(now - c.At)}
-		for _, request := range c.Requests {
-			broken := &followv1.BrokenRequest{Key: request.Key, Parts: request.Parts, Resent: request.Resent}
-			if request.SentAt > 0 {
-				broken.SentAgeMs = milliseconds(now - request.SentAt)
-			}
-			crash.Requests = append(crash.Requests, broken)
-		}
-		report.Crashes = append(report.Crashes, crash)
-	}
-	for _, c := range r.Completions {
-		report.Completions = append(report.Completions, &followv1.Completion{Suspect: c.Suspect, AgeMs: milliseconds(now - c.At)})
-	}
-}
-
-// decodeCrash decodes a crash that a front has reported at now.
-func decodeCrash(c *followv1.EngineCrash, now time.Duration) quarantine.Crash {
-	crash := quarantine.Crash{Engine: c.GetEngine(), At: now - fromMilliseconds(c.GetAgeMs())}
-	for _, r := range c.GetRequests() {
-		request := quarantine.BrokenRequest{Request: quarantine.Request{Key: r.GetKey()}, Resent: r.GetResent()}
-		for _, part := range r.GetParts() {
-			request.Parts = append(request.Parts, quarantine.ReportedID(part))
-		}
-		if r.GetSentAgeMs() > 0 {
-			request.SentAt = now - fromMilliseconds(r.GetSentAgeMs())
-		}
-		crash.Requests = append(crash.Requests, request)
-	}
-	return crash
-}
--- a/internal/edge/frontquarantine_test.go
+++ b/internal/edge/frontquarantine_test.go
@@ -80,7 +80,7 @@
 	crash := func(second int, keys ...string) {
 		c := quarantine.Crash{Engine: strconv.Itoa(second), At: time.Duration(second) * time.Second}
 		for _, key := range keys {
-			c.Requests = append(c.Requests, quarantine.BrokenRequest{Request: quarantine.Request{Key: key}})
+			c.Requests = append(c.Requests, quarantine.BrokenRequest{Key: key})
 		}
 		e.tracker.RecordCrash(c.At, c)
 	}
--- a/internal/edge/quarantine_test.go
+++ b/internal/edge/quarantine_test.go
@@ -14,6 +14,8 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cuminwing/cuminwing/internal/adapter/boottime"
 	"github.com/cuminwing/cuminwing/internal/fleet"
 	"github.com/cuminwing/cuminwing/internal/quarantine"
@@ -254,10 +256,39 @@
 	}
 }
 
+// checkAsBefore returns an error if members of the core of the version before reject a report.
+func checkAsBefore(report *followv1.FrontReport) error {
+	if len(report.GetCrashes()) > 256 || len(report.GetCompletions()) > 1024 {
+		return errors.New("too many crashes or completions")
+	}
+	for _, c := range report.GetCrashes() {
+		for _, r := range c.GetRequests() {
+			isLong := func(name string) bool { return len(name) > 256 || quarantine.IsRequestKey(name) }
+			if len(r.GetParts()) > 64 || slices.ContainsFunc(r.GetParts(), isLong) {
+				return errors.Newf("a request with %d parts", len(r.GetParts()))
+			}
+		}
+	}
+	return nil
+}
+
+// brokenRequests returns what a report says of a request.
+func brokenRequests(report *followv1.FrontReport, key string) []*followv1.BrokenRequest {
+	var list []*followv1.BrokenRequest
+	for _, c := range report.GetCrashes() {
+		for _, r := range c.GetRequests() {
+			if r.GetKey() == key {
+				list = append(list, r)
+			}
+		}
+	}
+	return list
+}
+
 // Guards against a front that loses the core because of one request: its report of a crash is
 // rejected as a whole, and sent again until it is too old.
 func TestReportOfAnyCrashIsAccepted(t *testing.T) {
-	for _, parts := range []int{0, quarantine.MaxParts, quarantine.MaxParts + 1, 1025, 10000} {
+	for _, parts := range []int{0, quarantine.MaxChunkParts, quarantine.MaxChunkParts + 1, 1025, 10000} {
 		o := quarantine.NewObserver(boottime.Now)
 		r := quarantine.Request{Key: quarantine.RequestKey("r")}
 		for i := range parts {
@@ -266,13 +297,32 @@
 		large := quarantine.Request{Key: quarantine.RequestKey("large"), Parts: slices.Repeat([]string{strings.Repeat("x", quarantine.MaxNameBytes)}, 1000)}
 		requests := slices.Repeat([]quarantine.SentRequest{{Request: large}}, 10)
 		o.RecordCrash("engine", boottime.Now(), append(requests, quarantine.SentRequest{Request: r}), false)
-		report := &followv1.FrontReport{Vm: "f", Address: "f:1"}
-		encodeEvidence(report, o.Report(), boottime.Now())
-		if err := checkReport(report); err != nil {
-			t.Errorf("a request with %d parts: %v", parts, err)
+		reported := make(map[string]uint32)
+		found := false
+		for evidence := o.Report(); len(evidence.Crashes) > 0; evidence = o.Report() {
+			report := &followv1.FrontReport{Vm: "f", Address: "f:1"}
+			encodeEvidence(report, evidence, boottime.Now())
+			if err := checkReport(report); err != nil {
+				t.Fatalf("a request with %d parts: %v", parts, err)
+			}
+			if err := checkAsBefore(report); err != nil {
+				t.Fatalf("a request with %d parts is rejected by the version before: %v", parts, err)
+			}
+			for _, b := range brokenRequests(report, r.Key) {
+				found = true
+				for i, part := range b.GetParts() {
+					reported[part] = b.GetPositions()[i]
+				}
+			}
+			o.Confirm(evidence, false, nil)
 		}
-		if len(report.Crashes) != 1 || !slices.ContainsFunc(report.Crashes[0].Requests, func(b *followv1.BrokenRequest) bool { return b.GetKey() == r.Key }) {
-			t.Errorf("a request with %d parts is not reported", parts)
+		if !found || len(reported) != parts {
+			t.Errorf("%d of %d parts of a request are reported", len(reported), parts)
+		}
+		for i, part := range r.Parts {
+			if reported[part] != uint32(i) {
+				t.Errorf("part %d of a request is reported as part %d", i, reported[part])
+			}
 		}
 	}
 }
--- a/internal/edge/shareswire.go
+++ b/internal/edge/shareswire.go
@@ -2,12 +2,9 @@
 
 import (
 	"math"
-	"slices"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/cuminwing/cuminwing/internal/quarantine"
 	"github.com/cuminwing/cuminwing/internal/ratelimit"
 	followv1 "github.com/cuminwing/cuminwing/proto/follow/v1"
 )
@@ -37,47 +34,6 @@
 	return checkEvidence(report)
 }
 
-const (
-	// maxReportedCrashes and maxReportedSuspects limit the evidence in one report.
-	maxReportedCrashes  = 256
-	maxReportedSuspects = 1024
-	// maxSuspectBytes limits the names of suspects. Fronts of the version before send names of
-	// parts that are longer than those in the evidence.
-	maxSuspectBytes = 256
-)
-
-// checkEvidence returns an error if the evidence on crashes cannot be used.
-func checkEvidence(report *followv1.FrontReport) error {
-	if len(report.GetCrashes()) > maxReportedCrashes || len(report.GetCompletions()) > maxReportedSuspects {
-		return errors.New("the report has too many crashes or completions")
-	}
-	for _, c := range report.GetCrashes() {
-		if !isAge(c.GetAgeMs()) || slices.ContainsFunc(c.GetRequests(), isUnusableRequest) {
-			return errors.Newf("the report on the crash of %q cannot be used", c.GetEngine())
-		}
-	}
-	for _, c := range report.GetCompletions() {
-		if !isAge(c.GetAgeMs()) || isLongName(c.GetSuspect()) {
-			return errors.Newf("the report on a completion of age %v ms cannot be used", c.GetAgeMs())
-		}
-	}
-	return nil
-}
-
-// isUnusableRequest reports whether a broken request cannot be evidence.
-func isUnusableRequest(r *followv1.BrokenRequest) bool {
-	return !isAge(r.GetSentAgeMs()) || !quarantine.IsRequestKey(r.GetKey()) || isLongName(r.GetKey()) || len(r.GetParts()) > quarantine.MaxParts ||
-		slices.ContainsFunc(r.GetParts(), isUnusablePart)
-}
-
-// isUnusablePart reports whether the name of a part is too long or looks like a request.
-func isUnusablePart(name string) bool { return isLongName(name) || quarantine.IsRequestKey(name) }
-
-func isLongName(name string) bool { return len(name) > maxSuspectBytes }
-
-// isAge reports whether a number of milliseconds can be the age of an event.
-func isAge(ms float64) bool { return ms >= 0 && ms <= float64(24*time.Hour/time.Millisecond) }
-
 // maxIntervalMS limits the intervals that another VM may state, to about 30 years in
 // milliseconds. A time.Duration holds them, also after an addition.
 const maxIntervalMS = 1e12
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -15,8 +15,6 @@
 	// depth is the highest position of a part in a prompt. Prompts are chains of parts, so
 	// a part at a higher position is in fewer requests than those before it.
 	depth int
-	// parts are the parts of a request.
-	parts []string
 	// suspectedSince is when the request or part became a suspect; 0 if it is none.
 	suspectedSince time.Duration
 	lastCompletion time.Duration
@@ -144,6 +142,12 @@
 	return slices.ContainsFunc(e.sightings, func(s sighting) bool { return s.crash == id })
 }
 
+// hasRequest reports whether a request was in a crash with the part. It was not told apart from
+// others if more than maxRequestsPerSighting requests with the part were in that crash.
+func (e *evidence) hasRequest(key string) bool {
+	return slices.ContainsFunc(e.sightings, func(s sighting) bool { return slices.Contains(s.requests, key) })
+}
+
 // sharesCrash reports whether two suspects were in the same crash.
 func (e *evidence) sharesCrash(other *evidence) bool {
 	return slices.ContainsFunc(e.sightings, func(s sighting) bool { return other.inCrash(s.crash) })
--- a/internal/quarantine/limits_test.go
+++ b/internal/quarantine/limits_test.go
@@ -45,3 +45,44 @@
 		t.Errorf("the name that an older front reports is %q, want the digest %q", got, partID(long))
 	}
 }
+
+// Guards against a fatal part that is not found because of the number of parts before it
+// (review/8), and against the rejection of sound requests with these.
+func TestFatalPartIsFoundBehindAnyNumberOfParts(t *testing.T) {
+	for _, count := range []int{0, 1, 63, 64, 65, 300, 1000, 4000} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			f := newTestFleet(t, 3)
+			s := session{f, names("session-", count)}
+			arrivals := f.sendFatal("fatal", func(int) []string { return s.parts }, s.running, s.complete)
+			f.check(arrivals, f.request(s.parts...), f.request("topic"))
+		})
+	}
+}
+
+// Guards against evidence that is left out because requests with many parts run at the same
+// engine: all of it is reported, in whichever order the requests are.
+func TestRequestsWithManyPartsPushOutNoEvidence(t *testing.T) {
+	f := newTestFleet(t, 1)
+	long := strings.Repeat("x", 200)
+	var running []Request
+	for i := range 8 {
+		running = append(running, f.request(names(fmt.Sprint(long, i, "-"), 1000)...))
+	}
+	parts := append(names(long, 60), "fatal")
+	running = append(running, f.request(parts...))
+	f.crash(running...)
+	reported := 0
+	for report := f.fronts[0].Report(); len(report.Crashes) > 0; report = f.fronts[0].Report() {
+		for _, c := range report.Crashes {
+			for _, r := range c.Requests {
+				if r.Key == running[len(running)-1].Key {
+					reported += len(r.Parts)
+				}
+			}
+		}
+		f.fronts[0].Confirm(report, false, nil)
+	}
+	if reported != len(parts) {
+		t.Errorf("%d parts of the last request are reported, want %d", reported, len(parts))
+	}
+}
--- a/internal/quarantine/observer.go
+++ b/internal/quarantine/observer.go
@@ -1,8 +1,8 @@
 package quarantine
 
 import (
+	"hash/maphash"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 )
@@ -12,13 +12,6 @@
 	// remembers, and maxBroken the requests of which it remembers when one broke off.
 	maxCompleted = 16384
 	maxBroken    = 4096
-	// maxKeptCrashes limits the crashes that a front keeps for a new leader.
-	maxKeptCrashes = 64
-	// maxCrashBytes limits the names in the report of one crash.
-	maxCrashBytes = 64 << 10
-	// maxReportBytes limits the names in one report of crashes. The rest is in the
-	// next report.
-	maxReportBytes = 256 << 10
 	// maxCrashNames limits the requests and parts in crashes whose completions are in one
 	// report.
 	maxCrashNames = 256
@@ -31,16 +24,18 @@
 	// Clock returns the time of a clock that continues during a suspension.
 	Clock func() time.Duration
 
-	mu sync.Mutex
-	// crashes are the recent crashes, oldest first, and recorded the number of all
-	// that were recorded. The present leader has received the first reported ones.
-	crashes            []Crash
+	mu       sync.Mutex
+	reporter crashReporter
+	// pieces are the pieces of the recent crashes, oldest first. recorded is the number of
+	// the last one, and reported that of the last one that the present leader has.
+	pieces             []numberedPiece
 	recorded, reported int
 	// completed maps requests and parts to the time of their last completion, and
 	// broken requests to the time when one last broke off.
 	completed map[string]time.Duration
 	broken    map[string]time.Duration
 	suspects  []string
+	isSuspect map[string]bool
 	// suspectedSince maps the suspected requests to the time since which this front
 	// knows them.
 	suspectedSince map[string]time.Duration
@@ -48,12 +43,24 @@
 	due            chan struct{}
 }
 
+// numberedPiece is a piece of a crash. The pieces of a front are numbered from 1 on.
+type numberedPiece struct {
+	Crash
+	number int
+}
+
 // NewObserver returns an Observer without evidence.
 func NewObserver(clock func() time.Duration) *Observer {
-	return &Observer{
+	o := &Observer{
 		Clock: clock, completed: make(map[string]time.Duration), broken: make(map[string]time.Duration),
 		suspectedSince: make(map[string]time.Duration), due: make(chan struct{}, 1),
 	}
+	o.reporter = crashReporter{
+		seed:         maphash.MakeSeed(),
+		hasCompleted: func(id string) bool { return o.completed[id] != 0 },
+		isSuspected:  func(id string) bool { return o.isSuspect[id] },
+	}
+	return o
 }
 
 // Decide returns what to do with a request.
@@ -104,8 +111,8 @@
 	defer o.mu.Unlock()
 	now := o.Clock()
 	setLimited(o.completed, r.Key, now, maxCompleted)
-	for _, part := range usableParts(r.Parts) {
-		setLimited(o.completed, part, now, maxCompleted)
+	for _, part := range brokenParts(r.Parts) {
+		setLimited(o.completed, part.ID, now, maxCompleted)
 	}
 }
 
@@ -155,61 +162,76 @@
 // is only unresponsive, requests that were sent again do not count at once: all engines of a
 // zone may be lost, one after the other for each request.
 func (o *Observer) RecordCrash(engine string, at time.Duration, requests []SentRequest, unresponsive bool) {
-	o.mu.Lock()
-	c := Crash{Engine: engine, At: at, Requests: brokenRequests(requests)}
-	if unresponsive {
-		for i := range c.Requests {
-			c.Requests[i].Resent, c.Requests[i].SentAt = false, 0
+	if len(requests) == 0 {
+		return
+	}
+	crash := Crash{Engine: engine, At: at}
+	for _, r := range mostResent(requests) {
+		broken := BrokenRequest{Key: r.Key, Parts: brokenParts(r.Parts)}
+		if !unresponsive {
+			broken.SentAt, broken.Resent = r.SentAt, r.Resent
 		}
+		crash.Requests = append(crash.Requests, broken)
 	}
-	if len(c.Requests) > 0 {
-		o.crashes = append(o.crashes, c)
+	o.mu.Lock()
+	for _, piece := range o.reporter.pieces(crash) {
 		o.recorded++
+		o.pieces = append(o.pieces, numberedPiece{piece, o.recorded})
 	}
-	if extra := len(o.crashes) - maxKeptCrashes; extra > 0 {
-		o.crashes = slices.Clone(o.crashes[extra:])
-	}
+	o.limitPieces()
 	o.mu.Unlock()
-	if len(c.Requests) == 0 {
-		return
-	}
 	select {
 	case o.due <- struct{}{}:
 	default:
 	}
 }
 
-// brokenRequests returns the usable requests of a crash, up to the limit of its report.
-func brokenRequests(requests []SentRequest) []BrokenRequest {
-	var list []BrokenRequest
-	size := 0
-	for _, r := range requests {
-		usable := Request{Key: r.Key, Parts: usableParts(r.Parts)}
-		if size+usable.bytes() > maxCrashBytes {
-			continue
+// mostResent returns up to maxCrashRequests of the requests, first those that were sent again.
+func mostResent(requests []SentRequest) []SentRequest {
+	if len(requests) <= maxCrashRequests {
+		return requests
+	}
+	resent := slices.DeleteFunc(slices.Clone(requests), func(r SentRequest) bool { return !r.Resent })
+	others := slices.DeleteFunc(slices.Clone(requests), func(r SentRequest) bool { return r.Resent })
+	return append(resent, others...)[:maxCrashRequests]
+}
+
+// limitPieces removes pieces until the limits are kept: of those that the leader has, if there are
+// any, the last one of the largest crash.
+func (o *Observer) limitPieces() {
+	for len(o.pieces) > maxKeptPieces || keptParts(o.pieces) > maxKeptParts {
+		reported := 0
+		for reported < len(o.pieces) && o.pieces[reported].number <= o.reported {
+			reported++
 		}
-		size += usable.bytes()
-		list = append(list, BrokenRequest{Request: usable, SentAt: r.SentAt, Resent: r.Resent})
+		if reported == 0 {
+			reported = len(o.pieces)
+		}
+		i := lastOfLargestCrash(o.pieces[:reported])
+		o.pieces = slices.Delete(o.pieces, i, i+1)
 	}
-	return list
 }
 
-// usableParts returns the IDs of the first parts of a request.
-func usableParts(parts []string) []string {
-	ids := make([]string, 0, min(len(parts), MaxParts))
-	for _, name := range parts[:min(len(parts), MaxParts)] {
-		ids = append(ids, strings.Clone(partID(name)))
+// lastOfLargestCrash returns the index of the last piece of the crash with the most parts.
+func lastOfLargestCrash(pieces []numberedPiece) int {
+	sizes := make(map[crashID]int)
+	largest := 0
+	for i, p := range pieces {
+		id := crashID{p.Engine, p.At}
+		sizes[id] += 1 + partCount(p.Requests)
+		if l := pieces[largest]; sizes[id] > sizes[crashID{l.Engine, l.At}] || id == (crashID{l.Engine, l.At}) {
+			largest = i
+		}
 	}
-	return ids
+	return largest
 }
 
-// bytes returns the size of the names of the request.
-func (r Request) bytes() int {
-	size := len(r.Key)
-	for _, part := range r.Parts {
-		size += len(part)
+func keptParts(pieces []numberedPiece) int {
+	count := 0
+	for _, p := range pieces {
+		count += partCount(p.Requests)
 	}
-	return size
+	return count
 }
 
 // ReportDue returns a channel that signals that a crash has to be reported at once.
@@ -219,9 +241,8 @@
 type Report struct {
 	Crashes     []Crash
 	Completions []Completion
-	// recorded is the number of crashes that the front had recorded, up to the last one
-	// of the report.
-	recorded int
+	// last is the number of the last piece of a crash that the leader has with the report.
+	last int
 }
 
 // Report returns the crashes that the leader does not know, and the completions of
@@ -230,10 +251,18 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.Clock()
-	o.crashes = slices.DeleteFunc(o.crashes, func(c Crash) bool { return now-c.At > reportLifetime })
-	unreported := o.crashes[len(o.crashes)-min(o.recorded-o.reported, len(o.crashes)):]
-	included := withinReportSize(unreported)
-	r := Report{Crashes: slices.Clone(unreported[:included]), recorded: o.recorded - (len(unreported) - included)}
+	o.pieces = slices.DeleteFunc(o.pieces, func(p numberedPiece) bool { return now-p.At > reportLifetime })
+	r := Report{last: o.reported}
+	size := 0
+	for _, p := range o.pieces {
+		if p.number <= o.reported {
+			continue
+		}
+		if size += p.bytes(); size > maxReportBytes && len(r.Crashes) > 0 {
+			break
+		}
+		r.Crashes, r.last = append(r.Crashes, p.Crash), p.number
+	}
 	for _, name := range o.reportedNames(r.Crashes) {
 		if at, ok := o.completed[name]; ok && now-at <= evidenceLifetime {
 			r.Completions = append(r.Completions, Completion{name, at})
@@ -260,21 +289,22 @@
 	return slices.Compact(names)
 }
 
-// suspects returns the key and the parts of a request.
-func (r Request) suspects() []string { return append([]string{r.Key}, r.Parts...) }
+// suspects returns the key of a request and the IDs of its parts.
+func (r BrokenRequest) suspects() []string {
+	list := []string{r.Key}
+	for _, part := range r.Parts {
+		list = append(list, part.ID)
+	}
+	return list
+}
 
-// withinReportSize returns how many of the crashes fit into one report.
-func withinReportSize(crashes []Crash) int {
-	size := 0
-	for i, c := range crashes {
-		for _, r := range c.Requests {
-			size += r.bytes()
-		}
-		if size > maxReportBytes {
-			return i
-		}
+// bytes returns the size of the names in the crash.
+func (c *Crash) bytes() int {
+	size := len(c.Engine)
+	for _, r := range c.Requests {
+		size += r.bytes()
 	}
-	return len(crashes)
+	return size
 }
 
 // Confirm records that the leader has received a report and which parts it suspects.
@@ -283,7 +313,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.setSuspects(suspects)
-	o.reported = max(o.reported, r.recorded)
+	o.reported = max(o.reported, r.last)
 	if newLeader {
 		o.reported = 0
 	}
@@ -291,11 +321,12 @@
 
 // setSuspects replaces the suspects, and keeps the time since which requests are suspected.
 func (o *Observer) setSuspects(suspects []string) {
-	o.suspects = suspects
+	o.suspects, o.isSuspect = suspects, make(map[string]bool, len(suspects))
 	known := o.suspectedSince
 	o.suspectedSince = make(map[string]time.Duration)
 	now := o.Clock()
 	for _, suspect := range suspects {
+		o.isSuspect[suspect] = true
 		if !IsRequestKey(suspect) {
 			continue
 		}
--- a/internal/quarantine/observer_test.go
+++ b/internal/quarantine/observer_test.go
@@ -22,6 +22,15 @@
 	o.RecordCrash(engine, o.Clock(), []SentRequest{{Request: r}}, false)
 }
 
+// ids returns the IDs of parts.
+func ids(parts []Part) []string {
+	var list []string
+	for _, part := range parts {
+		list = append(list, part.ID)
+	}
+	return list
+}
+
 func engines(r Report) []string {
 	var list []string
 	for _, c := range r.Crashes {
@@ -77,11 +86,11 @@
 	if n := len(o.completed); n > maxCompleted {
 		t.Errorf("%d completions are kept, want %d at most", n, maxCompleted)
 	}
-	for i := range 2 * maxKeptCrashes {
+	for i := range 2 * maxKeptPieces {
 		recordCrash(o, fmt.Sprint(i), "p")
 	}
-	if got := o.Report().Crashes; len(got) != maxKeptCrashes || got[len(got)-1].Engine != fmt.Sprint(2*maxKeptCrashes-1) {
-		t.Errorf("%d crashes are kept, the last at %s; want the last %d", len(got), got[len(got)-1].Engine, maxKeptCrashes)
+	if got := o.Report().Crashes; len(got) != maxKeptPieces || got[len(got)-1].Engine != fmt.Sprint(2*maxKeptPieces-1) {
+		t.Errorf("%d crashes are kept, the last at %s; want the last %d", len(got), got[len(got)-1].Engine, maxKeptPieces)
 	}
 }
 
@@ -91,7 +100,7 @@
 	parts := []string{strings.Repeat("x", MaxNameBytes+1), "part"}
 	o.RecordCompletion(Request{Key: RequestKey("r"), Parts: parts})
 	recordCrash(o, "a", parts...)
-	kept := o.Report().Crashes[0].Requests[0].Parts
+	kept := ids(o.Report().Crashes[0].Requests[0].Parts)
 	for name := range o.completed {
 		kept = append(kept, name)
 	}
@@ -133,7 +142,7 @@
 		t.Fatalf("reported crashes %v, want both", r.Crashes)
 	}
 	for i, want := range []int{1 + len(unusable), len(unusable)} {
-		got := r.Crashes[i].Requests[0].Parts
+		got := ids(r.Crashes[i].Requests[0].Parts)
 		if len(slices.Compact(slices.Sorted(slices.Values(got)))) != want {
 			t.Errorf("crash %d has the parts %q, want %d different ones", i, got, want)
 		}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -17,9 +17,6 @@
 // Time is how long a request or part stays quarantined.
 const Time = time.Hour
 
-// MaxParts limits the parts of one request.
-const MaxParts = 64
-
 // requestPrefix distinguishes the keys of requests from the names of parts, which
 // contain no colon.
 const requestPrefix = "request:"
@@ -74,10 +71,8 @@
 	maxSuspects = 128
 	// maxCandidates limits the requests that are compared in one decision.
 	maxCandidates = 128
-	// maxCrashesPerSuspect limits the crashes that are kept for one suspect, and
-	// maxRequestsPerSighting the requests with a part that are told apart in one crash.
-	maxCrashesPerSuspect   = 64
-	maxRequestsPerSighting = 8
+	// maxCrashesPerSuspect limits the crashes that are kept for one suspect.
+	maxCrashesPerSuspect = 64
 )
 
 // Request is a request as far as it matters for the evidence.
@@ -85,10 +80,19 @@
 	// Key identifies the request and its repeats, which have the same path, caller and
 	// body. RequestKey makes it.
 	Key string
-	// Parts are the parts of its prompt that other requests may share.
+	// Parts are the names of the parts of its prompt that other requests may share, in
+	// their order.
 	Parts []string
 }
 
+// Part is a part of the prompt of a broken request.
+type Part struct {
+	// ID identifies the part: its name, or a digest of it.
+	ID string
+	// Position is the number of parts before it in the prompt.
+	Position int
+}
+
 // RequestKey returns the key of a request from a digest of its path, caller and body.
 func RequestKey(digest string) string { return requestPrefix + digest }
 
@@ -97,7 +101,10 @@
 
 // BrokenRequest is a request that broke off when its engine crashed.
 type BrokenRequest struct {
-	Request
+	Key string
+	// Parts are shared parts of its prompt. A crash may have the request several times,
+	// each with other parts.
+	Parts []Part
 	// SentAt is when the request was sent; 0 if that is not known.
 	SentAt time.Duration
 	// Resent is set if the request was sent after the same front had seen another one
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -34,6 +34,9 @@
 type RequestRecord struct {
 	Key   string   `json:"key"`
 	Parts []string `json:"parts,omitempty"`
+	// Positions are the numbers of parts before each part in the prompt. They are missing if
+	// the first parts are recorded, and in records of the version before.
+	Positions []int `json:"positions,omitempty"`
 	// SentAt is when the request was sent; 0 if that is not known.
 	SentAt int64 `json:"sent_at,omitempty"`
 	Resent bool  `json:"resent,omitempty"`
@@ -75,10 +78,15 @@
 	return names
 }
 
-func (r *RequestRecord) request() Request {
-	request := Request{Key: r.Key}
-	for _, part := range r.Parts {
-		request.Parts = append(request.Parts, ReportedID(part))
+// request returns the broken request without its times.
+func (r *RequestRecord) request() BrokenRequest {
+	request := BrokenRequest{Key: r.Key, Resent: r.Resent}
+	for i, part := range r.Parts {
+		position := i
+		if i < len(r.Positions) {
+			position = r.Positions[i]
+		}
+		request.Parts = append(request.Parts, Part{ID: ReportedID(part), Position: position})
 	}
 	return request
 }
@@ -158,7 +166,10 @@
 func (c *unrecordedCrash) record(milliseconds func(time.Duration) int64) CrashRecord {
 	crash := CrashRecord{Engine: c.id.engine, At: milliseconds(c.id.at)}
 	for _, r := range c.requests {
-		request := RequestRecord{Key: r.Key, Parts: r.Parts, Resent: r.Resent}
+		request := RequestRecord{Key: r.Key, Resent: r.Resent}
+		for _, part := range r.Parts {
+			request.Parts, request.Positions = append(request.Parts, part.ID), append(request.Positions, part.Position)
+		}
 		if r.SentAt > 0 {
 			request.SentAt = milliseconds(r.SentAt)
 		}
@@ -187,7 +198,7 @@
 			continue
 		}
 		for _, r := range c.Requests {
-			request := BrokenRequest{Request: r.request(), Resent: r.Resent}
+			request := r.request()
 			if r.SentAt > 0 {
 				request.SentAt = since(r.SentAt)
 			}
--- a/internal/quarantine/release.go
+++ b/internal/quarantine/release.go
@@ -102,12 +102,17 @@
 	}
 	isUnexplained := func(s sighting) bool {
 		return !slices.ContainsFunc(quarantined[s.crash], func(other string) bool {
-			return other != suspect && !slices.Contains(e.parts, other) && t.suspects[other].crashesWithout(e)
+			return other != suspect && !t.isPartOf(other, suspect) && t.suspects[other].crashesWithout(e)
 		})
 	}
 	return len(e.sightings) >= minSuspectCrashes && !slices.ContainsFunc(e.sightings, isUnexplained)
 }
 
+// isPartOf reports whether a suspect is a part of the prompt of another one.
+func (t *Tracker) isPartOf(part, request string) bool {
+	return !IsRequestKey(part) && t.suspects[part].hasRequest(request)
+}
+
 // crashesWithout reports whether the suspect was in several crashes without another one.
 func (e *evidence) crashesWithout(other *evidence) bool {
 	return distinctCrashes(without(e.sightings, func(s sighting) bool { return other.inCrash(s.crash) })) >= minSuspectCrashes
@@ -124,17 +129,17 @@
 	if e == nil {
 		return
 	}
-	e.sightings = without(e.sightings, func(s sighting) bool { return t.hasFatalPart(e, s.crash) })
+	e.sightings = without(e.sightings, func(s sighting) bool { return t.hasFatalPart(suspect, s.crash) })
 	if distinctCrashes(e.sightings) < minSuspectCrashes {
 		e.suspectedSince = 0
 	}
 }
 
 // hasFatalPart reports whether a quarantined part that a request does not have was in a crash.
-func (t *Tracker) hasFatalPart(request *evidence, id crashID) bool {
+func (t *Tracker) hasFatalPart(request string, id crashID) bool {
 	for other := range t.quarantined {
 		o := t.suspects[other]
-		if o != nil && !IsRequestKey(other) && !slices.Contains(request.parts, other) && o.inCrash(id) {
+		if o != nil && !IsRequestKey(other) && !o.hasRequest(request) && o.inCrash(id) {
 			return true
 		}
 	}
--- a/internal/quarantine/request_test.go
+++ b/internal/quarantine/request_test.go
@@ -334,23 +334,25 @@
 	for i := range crashes {
 		o.RecordCrash(fmt.Sprint(i), *now, requests, false)
 	}
-	reported := 0
-	for range crashes {
+	reported := make(map[string]int)
+	for range 10 * crashes {
 		report := o.Report()
 		size := 0
 		for _, c := range report.Crashes {
 			for _, r := range c.Requests {
 				size += r.bytes()
+				reported[c.Engine]++
 			}
 		}
 		if size > maxReportBytes {
 			t.Errorf("a report has %d bytes of names, want %d at most", size, maxReportBytes)
 		}
-		reported += len(report.Crashes)
 		o.Confirm(report, false, nil)
 	}
-	if reported != crashes {
-		t.Errorf("%d crashes were reported, want %d", reported, crashes)
+	for i := range crashes {
+		if n := reported[fmt.Sprint(i)]; n != len(requests) {
+			t.Errorf("%d requests of crash %d were reported, want %d", n, i, len(requests))
+		}
 	}
 }
 
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -61,8 +61,8 @@
 	}
 	for _, r := range c.Requests {
 		t.recordSuspect(now, id, c.At, r.Key, 0, r)
-		for depth, part := range r.Parts {
-			t.recordSuspect(now, id, c.At, part, depth, r)
+		for _, part := range r.Parts {
+			t.recordSuspect(now, id, c.At, part.ID, part.Position, r)
 		}
 	}
 }
@@ -98,7 +98,7 @@
 }
 
 func (t *Tracker) hasQuarantinedPart(r BrokenRequest) bool {
-	return slices.ContainsFunc(r.Parts, func(part string) bool { return t.quarantined[part] })
+	return slices.ContainsFunc(r.Parts, func(part Part) bool { return t.quarantined[part.ID] })
 }
 
 func (t *Tracker) recordSuspect(now time.Duration, id crashID, at time.Duration, suspect string, depth int, r BrokenRequest) {
@@ -114,7 +114,7 @@
 	e.depth = max(e.depth, depth)
 	sentAt := time.Duration(0)
 	if suspect == r.Key {
-		e.parts, sentAt = r.Parts, r.SentAt
+		sentAt = r.SentAt
 	}
 	e.record(id, at, r, sentAt)
 	e.updateSuspicion(now)
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -12,7 +12,7 @@
 // for the parts.
 func crash(t *Tracker, engine string, seconds float64, parts ...string) {
 	key := RequestKey(fmt.Sprint(engine, " ", seconds, " ", parts))
-	crashOf(t, engine, seconds, BrokenRequest{Request: Request{Key: key, Parts: parts}})
+	crashOf(t, engine, seconds, BrokenRequest{Key: key, Parts: brokenParts(parts)})
 }
 
 // crashOf records the crash of an engine that ran the requests.
@@ -23,7 +23,7 @@
 
 // request returns a broken request.
 func request(digest string, parts ...string) BrokenRequest {
-	return BrokenRequest{Request: Request{Key: RequestKey(digest), Parts: parts}}
+	return BrokenRequest{Key: RequestKey(digest), Parts: brokenParts(parts)}
 }
 
 // resent returns a broken request that was sent after another crash with it.
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -17,7 +17,7 @@
 			continue
 		}
 		crashes := distinctCrashes(causes.unexplained(e))
-		if crashes > minRequestCrashes || crashes == minRequestCrashes && !t.isCoveredByPart(e, parts) {
+		if crashes > minRequestCrashes || crashes == minRequestCrashes && !t.isCoveredByPart(suspect, parts) {
 			candidates = append(candidates, suspect)
 		}
 	}
@@ -58,9 +58,10 @@
 
 // isCoveredByPart reports whether a part that a request does not have was in all crashes of
 // the request. The request may have been retried at engines that the part has crashed.
-func (t *Tracker) isCoveredByPart(e *evidence, parts []string) bool {
+func (t *Tracker) isCoveredByPart(request string, parts []string) bool {
 	return slices.ContainsFunc(parts, func(part string) bool {
-		return !slices.Contains(e.parts, part) && t.suspects[part].coversCrashes(e)
+		e := t.suspects[part]
+		return e.coversCrashes(t.suspects[request]) && !e.hasRequest(request)
 	})
 }
 
