quarantine: evidence of a part is not pushed out by requests with many parts

A caller whose requests have thousands of parts of their own hid a part that crashes engines: the leader tracked 8,192 requests and parts together, and made room by the fewest crashes, the oldest first. So the first crash of a part was forgotten before its second one was reported.

A part becomes a suspect with its second crash. Of a part that loses its place among the suspects, the latest crash stays.

TestTrackedPartsAreLimited checks all three limits.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -57,14 +57,25 @@
 		i = len(e.sightings)
 		e.sightings = append(e.sightings, sighting{crash: id, at: at})
 	}
-	s := &e.sightings[i]
+	e.sightings[i].add(at, r)
+	e.sightings[i].sentAt = max(e.sightings[i].sentAt, sentAt)
+	slices.SortStableFunc(e.sightings, func(a, b sighting) int { return cmp.Compare(a.at, b.at) })
+}
+
+// add adds a report of the crash with one request.
+func (s *sighting) add(at time.Duration, r BrokenRequest) {
 	s.at = min(s.at, at)
 	s.resent = s.resent || r.Resent
-	s.sentAt = max(s.sentAt, sentAt)
 	if !slices.Contains(s.requests, r.Key) && len(s.requests) < maxRequestsPerSighting {
 		s.requests = append(s.requests, r.Key)
 	}
-	slices.SortStableFunc(e.sightings, func(a, b sighting) int { return cmp.Compare(a.at, b.at) })
+}
+
+// clone returns a copy that shares no memory with the sighting.
+func (s *sighting) clone() sighting {
+	copied := *s
+	copied.requests = slices.Clone(s.requests)
+	return copied
 }
 
 // updateSuspicion sets since when the request or part is a suspect.
--- a/internal/quarantine/limits_test.go
+++ b/internal/quarantine/limits_test.go
@@ -86,3 +86,40 @@
 		t.Errorf("%d parts of the last request are reported, want %d", reported, len(parts))
 	}
 }
+
+// Guards against a fatal part that is not found beside, or within, requests with so many parts
+// that not all can be reported, and against memory and messages that grow with these.
+func TestFatalPartIsFoundBesideMorePartsThanAreReported(t *testing.T) {
+	f := newTestFleet(t, 3)
+	shared := session{f, names("session-", 4000)}
+	for _, tt := range []struct {
+		name   string
+		before func(n int) []string
+	}{
+		{"beside", func(int) []string { return []string{"common", "topic"} }},
+		{"behind shared ones", func(int) []string { return shared.parts }},
+		{"behind its own ones", func(n int) []string { return names(fmt.Sprintf("fatal-%d-", n), 4000) }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f = newTestFleet(t, 3)
+			shared.fleet = f
+			many := func(int) []Request {
+				var requests []Request
+				for range 12 {
+					requests = append(requests, f.request(names(fmt.Sprintf("own-%d-", f.requests), 4000)...))
+				}
+				return requests
+			}
+			arrivals := f.sendFatal("fatal", tt.before, many, shared.complete)
+			f.check(arrivals, f.request(shared.parts...), f.request(names("own-1-", 4000)...))
+			if limit := 4 * maxReportBytes; f.largestReport > limit {
+				t.Errorf("a report has %d bytes, want %d at most", f.largestReport, limit)
+			}
+			for _, o := range f.fronts {
+				if n := keptParts(o.pieces); n > maxKeptParts {
+					t.Errorf("a front keeps %d parts, want %d at most", n, maxKeptParts)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/quarantine/priority.go
@@ -0,0 +1,96 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// mostSuspected returns the suspects with the most crashes, up to maxSuspects.
+func (t *Tracker) mostSuspected(now time.Duration, list []string) []string {
+	if len(list) <= maxSuspects {
+		return list
+	}
+	slices.SortFunc(list, t.byCrashes)
+	for _, suspect := range list[maxSuspects:] {
+		t.suspects[suspect].suspectedSince = now
+	}
+	return list[:maxSuspects]
+}
+
+// byCrashes orders suspects by descending number of crashes.
+func (t *Tracker) byCrashes(a, b string) int {
+	return cmp.Or(cmp.Compare(len(t.suspects[b].sightings), len(t.suspects[a].sightings)), cmp.Compare(a, b))
+}
+
+// makeRoom removes a quarter of the requests, or of the parts, if a further one exceeds the limit.
+func (t *Tracker) makeRoom(now time.Duration, added string) {
+	count, limit, remove := t.partCount, maxTrackedParts, t.demote
+	if IsRequestKey(added) {
+		count, limit, remove = len(t.suspects)-t.partCount, maxTrackedRequests, t.remove
+	}
+	if count < limit {
+		return
+	}
+	t.dropExpired(now)
+	var list []string
+	for suspect := range t.suspects {
+		if IsRequestKey(suspect) == IsRequestKey(added) && !t.quarantined[suspect] {
+			list = append(list, suspect)
+		}
+	}
+	t.sortByPriority(list, uint64(now))
+	for _, suspect := range list[min(len(list), limit*3/4):] {
+		remove(suspect)
+	}
+}
+
+// demote removes a part from the suspects and keeps what one of its crashes says.
+func (t *Tracker) demote(part string) {
+	e := t.suspects[part]
+	t.remove(part)
+	t.first.put(part, e)
+}
+
+// peers identifies the suspects with the same number of crashes and the same latest crash or, if
+// they are parts, the same request in it.
+type peers struct {
+	crashes int
+	latest  crashID
+	request string
+}
+
+func (t *Tracker) peersOf(suspect string) peers {
+	sightings := t.suspects[suspect].sightings
+	if len(sightings) == 0 {
+		return peers{}
+	}
+	latest := sightings[len(sightings)-1]
+	p := peers{crashes: len(sightings), latest: latest.crash}
+	if !IsRequestKey(suspect) {
+		p.request = latest.requests[0]
+	}
+	return p
+}
+
+// sortByPriority sorts suspects by descending number of crashes. Among those with the same number,
+// each request in turn has one part, and each crash one request, so that large ones do not precede
+// the others. turn decides about the rest.
+func (t *Tracker) sortByPriority(list []string, turn uint64) {
+	slices.SortFunc(list, func(a, b string) int {
+		return cmp.Compare(mix(t.first.hash(a), turn), mix(t.first.hash(b), turn))
+	})
+	places := make(map[peers]int)
+	ranks := make(map[string]int, len(list))
+	for _, suspect := range list {
+		p := t.peersOf(suspect)
+		ranks[suspect] = places[p]
+		places[p]++
+	}
+	slices.SortStableFunc(list, func(a, b string) int {
+		return cmp.Or(
+			cmp.Compare(len(t.suspects[b].sightings), len(t.suspects[a].sightings)),
+			cmp.Compare(ranks[a], ranks[b]),
+		)
+	})
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -65,9 +65,7 @@
 	crashReportTime = 4 * time.Second
 	// evidenceLifetime is how long a crash counts.
 	evidenceLifetime = 10 * time.Minute
-	// maxTracked limits the requests and parts that are tracked, and maxSuspects the
-	// requests and the parts that fronts are asked for.
-	maxTracked  = 8192
+	// maxSuspects limits the requests and the parts that fronts are asked for.
 	maxSuspects = 128
 	// maxCandidates limits the requests that are compared in one decision.
 	maxCandidates = 128
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -10,7 +10,12 @@
 
 // Tracker relates the reports of all fronts. It is not safe for concurrent use.
 type Tracker struct {
-	suspects    map[string]*evidence
+	// suspects has the evidence on requests, and on parts that were in several crashes or are
+	// quarantined. first has the evidence on other parts.
+	suspects map[string]*evidence
+	first    *firstSightings
+	// partCount is the number of parts among the suspects.
+	partCount   int
 	quarantined map[string]bool
 	// crashes maps the incarnations of engines to the times of their crashes.
 	crashes map[string][]time.Duration
@@ -36,7 +41,7 @@
 // NewTracker returns a Tracker without evidence.
 func NewTracker() *Tracker {
 	return &Tracker{
-		suspects: make(map[string]*evidence), quarantined: make(map[string]bool), crashes: make(map[string][]time.Duration),
+		suspects: make(map[string]*evidence), first: newFirstSightings(), quarantined: make(map[string]bool), crashes: make(map[string][]time.Duration),
 		explained: make(map[crashID]bool), quarantinedSince: make(map[string]time.Duration), cleared: make(map[string]bool),
 		recorded: make(map[crashID]map[string]bool), unrecordedCompletions: make(map[string]time.Duration), lastPartQuarantine: math.MinInt64,
 	}
@@ -47,6 +52,17 @@
 	clear(t.quarantined)
 	for _, suspect := range suspects {
 		t.quarantined[suspect] = true
+		t.promote(suspect)
+	}
+}
+
+// promote makes a quarantined part a suspect if it was in one crash only.
+func (t *Tracker) promote(suspect string) {
+	if IsRequestKey(suspect) || t.suspects[suspect] != nil {
+		return
+	}
+	if e := t.first.take(suspect); e != nil {
+		t.add(suspect, e)
 	}
 }
 
@@ -60,9 +76,9 @@
 		t.noteCrash(id, c.Requests)
 	}
 	for _, r := range c.Requests {
-		t.recordSuspect(now, id, c.At, r.Key, 0, r)
+		t.recordRequest(now, id, c.At, r)
 		for _, part := range r.Parts {
-			t.recordSuspect(now, id, c.At, part.ID, part.Position, r)
+			t.recordPart(now, id, c.At, part, r)
 		}
 	}
 }
@@ -101,25 +117,62 @@
 	return slices.ContainsFunc(r.Parts, func(part Part) bool { return t.quarantined[part.ID] })
 }
 
-func (t *Tracker) recordSuspect(now time.Duration, id crashID, at time.Duration, suspect string, depth int, r BrokenRequest) {
-	if suspect == "" || t.explained[id] && !t.quarantined[suspect] {
+// isExplained reports whether a crash says nothing about a suspect.
+func (t *Tracker) isExplainedFor(suspect string, id crashID) bool {
+	return t.explained[id] && !t.quarantined[suspect]
+}
+
+func (t *Tracker) recordRequest(now time.Duration, id crashID, at time.Duration, r BrokenRequest) {
+	if r.Key == "" || t.isExplainedFor(r.Key, id) {
 		return
 	}
-	e := t.suspects[suspect]
+	e := t.suspects[r.Key]
 	if e == nil {
-		t.makeRoom(now)
 		e = newEvidence()
-		t.suspects[suspect] = e
+		t.makeRoom(now, r.Key)
+		t.add(r.Key, e)
 	}
-	e.depth = max(e.depth, depth)
-	sentAt := time.Duration(0)
-	if suspect == r.Key {
-		sentAt = r.SentAt
+	e.record(id, at, r, r.SentAt)
+	e.updateSuspicion(now)
+}
+
+// recordPart records a crash with a part. A part becomes a suspect with its second crash.
+func (t *Tracker) recordPart(now time.Duration, id crashID, at time.Duration, part Part, r BrokenRequest) {
+	if part.ID == "" || t.isExplainedFor(part.ID, id) {
+		return
+	}
+	e := t.suspects[part.ID]
+	if e == nil {
+		if e = t.first.record(id, at, part, r); e == nil && t.quarantined[part.ID] {
+			e = t.first.take(part.ID)
+		}
+		if e == nil {
+			return
+		}
+		t.makeRoom(now, part.ID)
+		t.add(part.ID, e)
 	}
-	e.record(id, at, r, sentAt)
+	e.depth = max(e.depth, part.Position)
+	e.record(id, at, r, 0)
 	e.updateSuspicion(now)
 }
 
+// add adds a suspect.
+func (t *Tracker) add(suspect string, e *evidence) {
+	t.suspects[suspect] = e
+	if !IsRequestKey(suspect) {
+		t.partCount++
+	}
+}
+
+// remove removes a suspect.
+func (t *Tracker) remove(suspect string) {
+	delete(t.suspects, suspect)
+	if !IsRequestKey(suspect) {
+		t.partCount--
+	}
+}
+
 // RecordCompletion records that a suspected request, or one with a suspected part, has
 // completed. Crashes before it no longer count. What has completed since it was quarantined
 // does not crash engines.
@@ -130,9 +183,13 @@
 	e := t.suspects[c.Suspect]
 	if e == nil && t.lacksEvidence(now, c.Suspect) {
 		e = newEvidence()
-		t.suspects[c.Suspect] = e
+		t.add(c.Suspect, e)
+	}
+	if e == nil {
+		t.first.recordCompletion(c.Suspect, c.At)
+		return
 	}
-	if e == nil || c.At <= e.lastCompletion {
+	if c.At <= e.lastCompletion {
 		return
 	}
 	e.lastCompletion = c.At
@@ -162,23 +219,6 @@
 	return list
 }
 
-// mostSuspected returns the suspects with the most crashes, up to maxSuspects.
-func (t *Tracker) mostSuspected(now time.Duration, list []string) []string {
-	if len(list) <= maxSuspects {
-		return list
-	}
-	slices.SortFunc(list, t.byCrashes)
-	for _, suspect := range list[maxSuspects:] {
-		t.suspects[suspect].suspectedSince = now
-	}
-	return list[:maxSuspects]
-}
-
-// byCrashes orders suspects by descending number of crashes.
-func (t *Tracker) byCrashes(a, b string) int {
-	return cmp.Or(cmp.Compare(len(t.suspects[b].sightings), len(t.suspects[a].sightings)), cmp.Compare(a, b))
-}
-
 // Due returns the requests and parts that have to be quarantined.
 func (t *Tracker) Due(now time.Duration) []string {
 	t.dropExpired(now)
@@ -197,7 +237,10 @@
 
 // explain makes a crash count for no suspect but quarantined ones.
 func (t *Tracker) explain(id crashID) {
-	t.explained[id] = true
+	if !t.explained[id] {
+		t.explained[id] = true
+		t.first.dropCrash(id)
+	}
 	for suspect, e := range t.suspects {
 		if t.quarantined[suspect] {
 			continue
@@ -225,6 +268,7 @@
 	}
 	maps.DeleteFunc(t.recorded, func(id crashID, _ map[string]bool) bool { return now-id.at > evidenceLifetime })
 	maps.DeleteFunc(t.explained, func(id crashID, _ bool) bool { return now-id.at > evidenceLifetime })
+	t.first.dropExpired(now - evidenceLifetime)
 	for suspect, e := range t.suspects {
 		if len(e.sightings) > 0 && now-e.sightings[0].at > evidenceLifetime {
 			e.sightings = without(e.sightings, func(s sighting) bool { return now-s.at > evidenceLifetime })
@@ -232,23 +276,7 @@
 		}
 		// A completion is kept as long as crashes, as fronts may report an earlier crash later.
 		if len(e.sightings) == 0 && (!e.isRefuted() || now-e.lastCompletion > evidenceLifetime) {
-			delete(t.suspects, suspect)
+			t.remove(suspect)
 		}
 	}
 }
-
-// makeRoom removes the quarter of the suspects with the least evidence, the oldest
-// first, if the limit of tracked ones is reached.
-func (t *Tracker) makeRoom(now time.Duration) {
-	if len(t.suspects) < maxTracked {
-		return
-	}
-	t.dropExpired(now)
-	list := slices.SortedFunc(maps.Keys(t.suspects), func(a, b string) int {
-		first, second := t.suspects[a], t.suspects[b]
-		return cmp.Or(cmp.Compare(len(first.sightings), len(second.sightings)), cmp.Compare(first.lastCrash(), second.lastCrash()))
-	})
-	for _, suspect := range list[:max(0, len(list)-maxTracked*3/4)] {
-		delete(t.suspects, suspect)
-	}
-}
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -250,11 +250,21 @@
 	for i := range 5 {
 		crash(tracker, fmt.Sprint(i), float64(i), "fatal")
 	}
-	for i := range maxTracked + 1000 {
+	for i := range maxFirstSightings + 1000 {
 		crash(tracker, "engine", 10, fmt.Sprint(i))
 	}
-	if n := len(tracker.suspects); n > maxTracked {
-		t.Errorf("%d suspects are tracked, want %d at most", n, maxTracked)
+	for i := range maxTrackedParts + 1000 {
+		crash(tracker, "a", 9, fmt.Sprint("twice-", i))
+		crash(tracker, "b", 10, fmt.Sprint("twice-", i))
+	}
+	if n := len(tracker.first.parts); n > maxFirstSightings {
+		t.Errorf("%d parts that were in one crash are tracked, want %d at most", n, maxFirstSightings)
+	}
+	if n := tracker.partCount; n > maxTrackedParts {
+		t.Errorf("%d parts that were in several crashes are tracked, want %d at most", n, maxTrackedParts)
+	}
+	if n := len(tracker.suspects) - tracker.partCount; n > maxTrackedRequests {
+		t.Errorf("%d requests are tracked, want %d at most", n, maxTrackedRequests)
 	}
 	if got := tracker.Due(11 * time.Second); !slices.Equal(got, []string{"fatal"}) {
 		t.Errorf("due %q, want the part with the most crashes", got)
