quarantine: a part is asked for before sound ones of the same requests

Sound requests of a long session were rejected, with the requests that crashed engines: the leader asks the fronts for completions of 128 parts, in the order of their names among those with the same number of crashes, and quarantined the last part that it had asked for. The part that crashes engines was not among them.

The fronts are asked for 512 parts. Among those with the same number of crashes each request in turn has one, the last one first, as of parts in the same crashes the last one is quarantined; which requests come first changes after 4 s.

TestFatalPartIsFoundAmongMoreSuspectsThanAreAskedFor fails before (behind 1,000 parts part 127 of the session is quarantined and its sound requests are rejected) and passes.

--- a/internal/quarantine/limits.go
+++ b/internal/quarantine/limits.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"time"
 )
 
 // This file has all limits on the evidence of parts, so that one can see who loses what, where and
@@ -25,6 +26,11 @@
 //   - The leader keeps maxFirstSightings parts that were in one crash only. Those that have
 //     completed since lose first, then those of the requests with the most parts in the oldest
 //     crashes: a part that crashes engines is in the next crash too.
+//   - The leader asks the fronts for completions of maxAskedRequests requests and maxAskedParts parts,
+//     and of maxAskedQuarantined quarantined ones. Those with the most crashes come first; among
+//     equals, the requests, or the crashes, have one each in turn, others first after each
+//     askedTime. Of a request the last parts come first: of parts that were in the same crashes,
+//     the last one is quarantined. What is not asked for is not quarantined.
 //   - A front keeps maxKeptParts for the next leader. Of the crashes that the leader has, the one
 //     with the most parts loses first, beginning with those that have completed.
 const (
@@ -49,6 +55,14 @@
 	maxTrackedRequests = 8192
 	maxTrackedParts    = 16384
 	maxFirstSightings  = 131072
+	// maxAskedRequests, maxAskedParts and maxAskedQuarantined limit the suspects that fronts
+	// are asked for.
+	maxAskedRequests    = 128
+	maxAskedParts       = 512
+	maxAskedQuarantined = 128
+	// askedTime is the time after which others of the suspects with the same number of crashes
+	// are asked for. It covers completionReportTime and the interval of a few crashes.
+	askedTime = 4 * time.Second
 	// maxRequestsPerSighting limits the requests with a part that are told apart in one crash.
 	maxRequestsPerSighting = 8
 )
--- a/internal/quarantine/limits_test.go
+++ b/internal/quarantine/limits_test.go
@@ -123,3 +123,17 @@
 		})
 	}
 }
+
+// Guards against a fatal part that is not found, and a sound one that is quarantined in its place,
+// because more parts are suspected than fronts are asked for: the answers to sound requests with
+// these parts take so long that none completes between the crashes.
+func TestFatalPartIsFoundAmongMoreSuspectsThanAreAskedFor(t *testing.T) {
+	for _, count := range []int{100, 1000} {
+		for _, fatal := range []string{"a-fatal", "z-fatal"} {
+			f := newTestFleet(t, 3)
+			s := session{f, names("session-", count)}
+			arrivals := f.sendFatal(fatal, func(int) []string { return s.parts }, s.running, nothing)
+			f.check(arrivals, f.request(s.parts...))
+		}
+	}
+}
--- a/internal/quarantine/priority.go
+++ b/internal/quarantine/priority.go
@@ -6,16 +6,17 @@
 	"time"
 )
 
-// mostSuspected returns the suspects with the most crashes, up to maxSuspects.
-func (t *Tracker) mostSuspected(now time.Duration, list []string) []string {
-	if len(list) <= maxSuspects {
+// mostSuspected returns the suspects that fronts are asked for. The time for a decision on the others
+// begins once they are asked for.
+func (t *Tracker) mostSuspected(now time.Duration, list []string, limit int) []string {
+	if len(list) <= limit {
 		return list
 	}
-	slices.SortFunc(list, t.byCrashes)
-	for _, suspect := range list[maxSuspects:] {
+	t.sortByPriority(list, uint64(now/askedTime))
+	for _, suspect := range list[limit:] {
 		t.suspects[suspect].suspectedSince = now
 	}
-	return list[:maxSuspects]
+	return list[:limit]
 }
 
 // byCrashes orders suspects by descending number of crashes.
@@ -74,11 +75,14 @@
 }
 
 // sortByPriority sorts suspects by descending number of crashes. Among those with the same number,
-// each request in turn has one part, and each crash one request, so that large ones do not precede
-// the others. turn decides about the rest.
+// each request in turn has one part, the last one first, and each crash one request, so that large
+// ones do not precede the others. turn decides about the rest.
 func (t *Tracker) sortByPriority(list []string, turn uint64) {
 	slices.SortFunc(list, func(a, b string) int {
-		return cmp.Compare(mix(t.first.hash(a), turn), mix(t.first.hash(b), turn))
+		return cmp.Or(
+			cmp.Compare(t.suspects[b].depth, t.suspects[a].depth),
+			cmp.Compare(mix(t.first.hash(a), turn), mix(t.first.hash(b), turn)),
+		)
 	})
 	places := make(map[peers]int)
 	ranks := make(map[string]int, len(list))
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -65,8 +65,6 @@
 	crashReportTime = 4 * time.Second
 	// evidenceLifetime is how long a crash counts.
 	evidenceLifetime = 10 * time.Minute
-	// maxSuspects limits the requests and the parts that fronts are asked for.
-	maxSuspects = 128
 	// maxCandidates limits the requests that are compared in one decision.
 	maxCandidates = 128
 	// maxCrashesPerSuspect limits the crashes that are kept for one suspect.
--- a/internal/quarantine/release.go
+++ b/internal/quarantine/release.go
@@ -49,13 +49,13 @@
 	return over
 }
 
-// latestQuarantined returns up to maxSuspects of the quarantined requests and parts, those
+// latestQuarantined returns up to maxAskedQuarantined of the quarantined requests and parts, those
 // that were quarantined last.
 func (t *Tracker) latestQuarantined() []string {
 	list := slices.SortedFunc(maps.Keys(t.quarantinedSince), func(a, b string) int {
 		return cmp.Or(cmp.Compare(t.quarantinedSince[b], t.quarantinedSince[a]), cmp.Compare(a, b))
 	})
-	return list[:min(len(list), maxSuspects)]
+	return list[:min(len(list), maxAskedQuarantined)]
 }
 
 // Released returns what was quarantined by mistake: it has completed since, or its crashes have
--- a/internal/quarantine/request_test.go
+++ b/internal/quarantine/request_test.go
@@ -362,7 +362,7 @@
 	tracker := NewTracker()
 	for i := range minRequestCrashes + 1 {
 		var requests []BrokenRequest
-		for j := range 2 * maxSuspects {
+		for j := range 2 * maxAskedRequests {
 			requests = append(requests, request(fmt.Sprint("other-", j)))
 		}
 		if i > 0 {
@@ -371,7 +371,7 @@
 		crashOf(tracker, fmt.Sprint(i), float64(i), requests...)
 	}
 	const now = 10 * time.Second
-	if asked := tracker.Suspects(now); slices.Contains(asked, RequestKey("sound")) || len(asked) > maxSuspects {
+	if asked := tracker.Suspects(now); slices.Contains(asked, RequestKey("sound")) || len(asked) > maxAskedRequests {
 		t.Fatalf("%d suspects are asked for, sound among them: %v", len(asked), slices.Contains(asked, RequestKey("sound")))
 	}
 	if got := tracker.Due(now + completionReportTime/2); slices.Contains(got, RequestKey("sound")) {
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -214,7 +214,7 @@
 			parts = append(parts, suspect)
 		}
 	}
-	list := slices.Concat(t.mostSuspected(now, requests), t.mostSuspected(now, parts), t.latestQuarantined())
+	list := slices.Concat(t.mostSuspected(now, requests, maxAskedRequests), t.mostSuspected(now, parts, maxAskedParts), t.latestQuarantined())
 	slices.Sort(list)
 	return list
 }
