quarantine: completions are not forgotten, and are reported with the crashes

Sound parts were quarantined beside requests with thousands of parts. A front remembered the last completions of 16,384 requests and parts and forgot the older half: four requests of 4,000 parts erased all others, also those that the leader had asked for. It reported the completions of 256 names in the crashes, the first by name, and was asked for the others later, when it could be lost. Its memory grew with the heads of requests, of which the names were parts.

A front remembers 262,144 completions by a hash, and never forgets those of suspects and of what is in the crashes that it keeps. Each part in the report of a crash has the time of its last completion, so the limit of 256 names is gone; the leader ends evidence that a completion contradicts before it counts the crash.

--- a/internal/edge/evidencewire.go
+++ b/internal/edge/evidencewire.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -11,9 +12,8 @@
 )
 
 const (
-	// maxReportedCrashes and maxReportedSuspects limit the evidence in one report.
-	maxReportedCrashes  = 256
-	maxReportedSuspects = 1024
+	// maxReportedCrashes limits the pieces of crashes in one report.
+	maxReportedCrashes = 256
 	// maxSuspectBytes limits the names of suspects. Fronts of the version before send names of
 	// parts that are longer than those in the evidence.
 	maxSuspectBytes = 256
@@ -23,7 +23,7 @@
 
 // checkEvidence returns an error if the evidence on crashes cannot be used.
 func checkEvidence(report *followv1.FrontReport) error {
-	if len(report.GetCrashes()) > maxReportedCrashes || len(report.GetCompletions()) > maxReportedSuspects {
+	if len(report.GetCrashes()) > maxReportedCrashes || len(report.GetCompletions()) > quarantine.MaxReportedCompletions {
 		return errors.New("the report has too many crashes or completions")
 	}
 	for _, c := range report.GetCrashes() {
@@ -47,8 +47,8 @@
 // hasUnusableParts reports whether the parts of a broken request, or what is said of them, cannot
 // be evidence.
 func hasUnusableParts(r *followv1.BrokenRequest) bool {
-	parts, positions := len(r.GetParts()), len(r.GetPositions())
-	return parts > quarantine.MaxChunkParts || positions != 0 && positions != parts ||
+	parts, positions, ages := len(r.GetParts()), len(r.GetPositions()), len(r.GetCompletedAgesMs())
+	return parts > quarantine.MaxChunkParts || positions != 0 && positions != parts || ages != 0 && ages != parts ||
 		slices.ContainsFunc(r.GetParts(), isUnusablePart) ||
 		slices.ContainsFunc(r.GetPositions(), func(position uint32) bool { return position > maxPartPosition })
 }
@@ -77,9 +77,15 @@
 
 func encodeBrokenRequest(r quarantine.BrokenRequest, now time.Duration) *followv1.BrokenRequest {
 	broken := &followv1.BrokenRequest{Key: r.Key, Resent: r.Resent}
-	for _, part := range r.Parts {
+	broken.KeyCompletedAgeMs = encodeCompletion(r.CompletedAt, now)
+	ages := make([]uint32, len(r.Parts))
+	for i, part := range r.Parts {
 		broken.Parts = append(broken.Parts, part.ID)
 		broken.Positions = append(broken.Positions, uint32(min(part.Position, maxPartPosition)))
+		ages[i] = encodeCompletion(part.CompletedAt, now)
+	}
+	if slices.Max(append(ages, 0)) > 0 {
+		broken.CompletedAgesMs = ages
 	}
 	if r.SentAt > 0 {
 		broken.SentAgeMs = milliseconds(now - r.SentAt)
@@ -87,6 +93,23 @@
 	return broken
 }
 
+// encodeCompletion returns the age of a completion in milliseconds plus 1; 0 if there is none. It is
+// rounded up, as a completion must not seem to follow a crash that it preceded.
+func encodeCompletion(at, now time.Duration) uint32 {
+	if at == 0 {
+		return 0
+	}
+	return 1 + uint32(math.Ceil(milliseconds(max(now-at, 0))))
+}
+
+// decodeCompletion returns the time of a completion; 0 if there is none.
+func decodeCompletion(age uint32, now time.Duration) time.Duration {
+	if age == 0 {
+		return 0
+	}
+	return now - time.Duration(age-1)*time.Millisecond
+}
+
 // decodeCrash decodes a crash that a front has reported at now.
 func decodeCrash(c *followv1.EngineCrash, now time.Duration) quarantine.Crash {
 	crash := quarantine.Crash{Engine: c.GetEngine(), At: now - fromMilliseconds(c.GetAgeMs())}
@@ -98,12 +121,16 @@
 
 func decodeBrokenRequest(r *followv1.BrokenRequest, now time.Duration) quarantine.BrokenRequest {
 	request := quarantine.BrokenRequest{Key: r.GetKey(), Resent: r.GetResent()}
-	positions := r.GetPositions()
+	request.CompletedAt = decodeCompletion(r.GetKeyCompletedAgeMs(), now)
+	positions, ages := r.GetPositions(), r.GetCompletedAgesMs()
 	for i, name := range r.GetParts() {
 		part := quarantine.Part{ID: quarantine.ReportedID(name), Position: i}
 		if len(positions) > 0 {
 			part.Position = int(positions[i])
 		}
+		if len(ages) > 0 {
+			part.CompletedAt = decodeCompletion(ages[i], now)
+		}
 		request.Parts = append(request.Parts, part)
 	}
 	if r.GetSentAgeMs() > 0 {
--- a/internal/edge/quarantine_test.go
+++ b/internal/edge/quarantine_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/cuminwing/cuminwing/internal/adapter/boottime"
 	"github.com/cuminwing/cuminwing/internal/fleet"
@@ -272,6 +273,10 @@
 	return nil
 }
 
+// maxReportSize is the size that a report of crashes must not exceed, so that the reports of several
+// fronts fit into one call to the leader.
+const maxReportSize = maxPeerRequestBytes / 8
+
 // brokenRequests returns what a report says of a request.
 func brokenRequests(report *followv1.FrontReport, key string) []*followv1.BrokenRequest {
 	var list []*followv1.BrokenRequest
@@ -305,6 +310,9 @@
 			if err := checkReport(report); err != nil {
 				t.Fatalf("a request with %d parts: %v", parts, err)
 			}
+			if size := proto.Size(report); size > maxReportSize {
+				t.Errorf("a report of a request with %d parts has %d bytes, want %d at most", parts, size, maxReportSize)
+			}
 			if err := checkAsBefore(report); err != nil {
 				t.Fatalf("a request with %d parts is rejected by the version before: %v", parts, err)
 			}
--- a/internal/quarantine/firstsightings.go
+++ b/internal/quarantine/firstsightings.go
@@ -52,6 +52,9 @@
 	case !known:
 		f.makeRoom()
 		first.lastCompletion = math.MinInt64
+		if part.CompletedAt != 0 {
+			first.lastCompletion = part.CompletedAt
+		}
 	case first.sighting != nil && first.crash != id:
 		delete(f.parts, h)
 		return first.evidence()
--- a/internal/quarantine/limits.go
+++ b/internal/quarantine/limits.go
@@ -18,6 +18,12 @@
 //     have completed at this front. Each request has the same share, so requests with many parts
 //     lose first, others of their parts at each crash, so that each part has its turn. A part that
 //     the leader suspects is not left out.
+//   - A front remembers the last completions of maxCompleted requests and parts. The older ones lose
+//     first, but for suspects and what is in the crashes that it keeps. Completions are reported
+//     with the crashes, and for suspects, of which the leader asks for fewer than
+//     MaxReportedCompletions.
+//   - A front remembers for maxBroken requests when one broke off; the older ones lose first. Repeats
+//     of a forgotten one count by the time between their crashes.
 //   - A part is reported with maxRequestsPerSighting requests of a crash.
 //   - The leader tracks maxTrackedRequests requests, and maxTrackedParts parts that were in several
 //     crashes. Those with the fewest crashes lose first; among equals, the requests of the crash,
@@ -50,6 +56,13 @@
 	// the pieces with them.
 	maxKeptParts  = 131072
 	maxKeptPieces = 256
+	// maxCompleted limits the requests and parts whose last completion a front remembers, and
+	// maxBroken the requests of which it remembers when one broke off. It exceeds the number
+	// of suspects and of kept parts.
+	maxCompleted = 262144
+	maxBroken    = 4096
+	// MaxReportedCompletions limits the completions of suspects in one report.
+	MaxReportedCompletions = 1024
 	// maxTrackedRequests and maxTrackedParts limit the suspects that the leader tracks, and
 	// maxFirstSightings the parts that were in one crash only.
 	maxTrackedRequests = 8192
--- a/internal/quarantine/observer.go
+++ b/internal/quarantine/observer.go
@@ -7,17 +7,8 @@
 	"time"
 )
 
-const (
-	// maxCompleted limits the requests and parts whose last completion a front
-	// remembers, and maxBroken the requests of which it remembers when one broke off.
-	maxCompleted = 16384
-	maxBroken    = 4096
-	// maxCrashNames limits the requests and parts in crashes whose completions are in one
-	// report.
-	maxCrashNames = 256
-	// reportLifetime is how long a front keeps the crashes that it has reported.
-	reportLifetime = time.Minute
-)
+// reportLifetime is how long a front keeps the crashes that it has reported.
+const reportLifetime = time.Minute
 
 // Observer collects the evidence of one front. It is safe for concurrent use.
 type Observer struct {
@@ -30,9 +21,8 @@
 	// the last one, and reported that of the last one that the present leader has.
 	pieces             []numberedPiece
 	recorded, reported int
-	// completed maps requests and parts to the time of their last completion, and
-	// broken requests to the time when one last broke off.
-	completed map[string]time.Duration
+	completed          completions
+	// broken maps requests to the time when one last broke off.
 	broken    map[string]time.Duration
 	suspects  []string
 	isSuspect map[string]bool
@@ -52,12 +42,12 @@
 // NewObserver returns an Observer without evidence.
 func NewObserver(clock func() time.Duration) *Observer {
 	o := &Observer{
-		Clock: clock, completed: make(map[string]time.Duration), broken: make(map[string]time.Duration),
+		Clock: clock, completed: newCompletions(), broken: make(map[string]time.Duration),
 		suspectedSince: make(map[string]time.Duration), due: make(chan struct{}, 1),
 	}
 	o.reporter = crashReporter{
 		seed:         maphash.MakeSeed(),
-		hasCompleted: func(id string) bool { return o.completed[id] != 0 },
+		hasCompleted: func(id string) bool { return o.completed.last(id) != 0 },
 		isSuspected:  func(id string) bool { return o.isSuspect[id] },
 	}
 	return o
@@ -110,33 +100,21 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.Clock()
-	setLimited(o.completed, r.Key, now, maxCompleted)
-	for _, part := range brokenParts(r.Parts) {
-		setLimited(o.completed, part.ID, now, maxCompleted)
+	o.completed.record(r.Key, now, o.neededCompletions)
+	for _, name := range r.Parts {
+		o.completed.record(partID(name), now, o.neededCompletions)
 	}
 }
 
-// setLimited sets the time of an entry. If the limit is reached, the older half of the
-// entries is forgotten. A forgotten completion can only delay that a suspect is cleared.
-func setLimited(entries map[string]time.Duration, key string, now time.Duration, limit int) {
-	if _, known := entries[key]; !known && len(entries) >= limit {
-		forgetOlderHalf(entries, now)
-	}
-	entries[key] = now
-}
-
-func forgetOlderHalf(entries map[string]time.Duration, now time.Duration) {
-	ages := make([]time.Duration, 0, len(entries))
-	for _, at := range entries {
-		ages = append(ages, now-at)
-	}
-	slices.Sort(ages)
-	median := ages[len(ages)/2]
-	for key, at := range entries {
-		if now-at >= median {
-			delete(entries, key)
+// neededCompletions returns the suspects, and the requests and parts in the kept crashes.
+func (o *Observer) neededCompletions() []string {
+	names := slices.Clone(o.suspects)
+	for _, p := range o.pieces {
+		for _, r := range p.Requests {
+			names = append(names, r.suspects()...)
 		}
 	}
+	return names
 }
 
 // SentRequest is a request that broke off, and when it was sent. RecordBreak tells whether it
@@ -154,7 +132,10 @@
 	defer o.mu.Unlock()
 	now := o.Clock()
 	last, known := o.broken[key]
-	setLimited(o.broken, key, now, maxBroken)
+	if !known && len(o.broken) >= maxBroken {
+		forgetOlderHalf(o.broken, now)
+	}
+	o.broken[key] = now
 	return known && sentAt >= last
 }
 
@@ -245,8 +226,7 @@
 	last int
 }
 
-// Report returns the crashes that the leader does not know, and the completions of
-// suspects and of what was in these crashes.
+// Report returns the crashes that the leader does not know, and the completions of suspects.
 func (o *Observer) Report() Report {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -261,41 +241,37 @@
 		if size += p.bytes(); size > maxReportBytes && len(r.Crashes) > 0 {
 			break
 		}
-		r.Crashes, r.last = append(r.Crashes, p.Crash), p.number
+		r.Crashes, r.last = append(r.Crashes, o.withCompletions(p.Crash, now)), p.number
 	}
-	for _, name := range o.reportedNames(r.Crashes) {
-		if at, ok := o.completed[name]; ok && now-at <= evidenceLifetime {
-			r.Completions = append(r.Completions, Completion{name, at})
+	for _, suspect := range o.suspects {
+		if at := o.lastCompletion(suspect, now); at != 0 && len(r.Completions) < MaxReportedCompletions {
+			r.Completions = append(r.Completions, Completion{suspect, at})
 		}
 	}
 	return r
 }
 
-// reportedNames returns the suspects, and up to maxCrashNames of the other requests and parts in
-// crashes that have completed. The leader suspects some of these once it has the report, and
-// need not hear from this front again before it decides.
-func (o *Observer) reportedNames(crashes []Crash) []string {
-	var names []string
-	for _, c := range crashes {
-		for _, r := range c.Requests {
-			names = append(names, r.suspects()...)
+// withCompletions returns the crash with the last completions of its requests and parts, so that the
+// leader need not ask for them: this front may be lost before.
+func (o *Observer) withCompletions(c Crash, now time.Duration) Crash {
+	c.Requests = slices.Clone(c.Requests)
+	for i := range c.Requests {
+		r := &c.Requests[i]
+		r.CompletedAt = o.lastCompletion(r.Key, now)
+		r.Parts = slices.Clone(r.Parts)
+		for j := range r.Parts {
+			r.Parts[j].CompletedAt = o.lastCompletion(r.Parts[j].ID, now)
 		}
 	}
-	names = slices.DeleteFunc(names, func(name string) bool { return o.completed[name] == 0 })
-	slices.Sort(names)
-	names = slices.Compact(names)
-	names = append(names[:min(len(names), maxCrashNames)], o.suspects...)
-	slices.Sort(names)
-	return slices.Compact(names)
+	return c
 }
 
-// suspects returns the key of a request and the IDs of its parts.
-func (r BrokenRequest) suspects() []string {
-	list := []string{r.Key}
-	for _, part := range r.Parts {
-		list = append(list, part.ID)
+// lastCompletion returns the last completion with a suspect; 0 if none counts.
+func (o *Observer) lastCompletion(suspect string, now time.Duration) time.Duration {
+	if at := o.completed.last(suspect); now-at <= evidenceLifetime {
+		return at
 	}
-	return list
+	return 0
 }
 
 // bytes returns the size of the names in the crash.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -87,6 +87,9 @@
 	ID string
 	// Position is the number of parts before it in the prompt.
 	Position int
+	// CompletedAt is the last completed request with the part at the front that has reported
+	// the crash; 0 if there is none.
+	CompletedAt time.Duration
 }
 
 // RequestKey returns the key of a request from a digest of its path, caller and body.
@@ -101,6 +104,9 @@
 	// Parts are shared parts of its prompt. A crash may have the request several times,
 	// each with other parts.
 	Parts []Part
+	// CompletedAt is the last completed request with the key at the front that has reported
+	// the crash; 0 if there is none.
+	CompletedAt time.Duration
 	// SentAt is when the request was sent; 0 if that is not known.
 	SentAt time.Duration
 	// Resent is set if the request was sent after the same front had seen another one
@@ -108,6 +114,15 @@
 	Resent bool
 }
 
+// suspects returns the key of a request and the IDs of its parts.
+func (r BrokenRequest) suspects() []string {
+	list := []string{r.Key}
+	for _, part := range r.Parts {
+		list = append(list, part.ID)
+	}
+	return list
+}
+
 // Crash is the crash of an engine as seen by one front.
 type Crash struct {
 	// Engine identifies the incarnation of the engine.
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -132,6 +132,9 @@
 		t.makeRoom(now, r.Key)
 		t.add(r.Key, e)
 	}
+	if r.CompletedAt != 0 {
+		t.RecordCompletion(now, Completion{r.Key, r.CompletedAt})
+	}
 	e.record(id, at, r, r.SentAt)
 	e.updateSuspicion(now)
 }
@@ -141,6 +144,9 @@
 	if part.ID == "" || t.isExplainedFor(part.ID, id) {
 		return
 	}
+	if part.CompletedAt != 0 {
+		t.RecordCompletion(now, Completion{part.ID, part.CompletedAt})
+	}
 	e := t.suspects[part.ID]
 	if e == nil {
 		if e = t.first.record(id, at, part, r); e == nil && t.quarantined[part.ID] {
