quarantine: the record for the next leader has the parts that crash engines

A part behind many others had to crash engines all over again after the loss of the leader and of the fronts that had seen it: the record of a crash had the first chunk of each request only, whichever parts were in it.

Of each crash 1,024 parts are recorded in the order of the reports, which have the likeliest first, and 1,024 more if they were in another crash before. Parts that have completed since are left out. The record keeps its limit of 1 MB.

--- a/internal/quarantine/limits.go
+++ b/internal/quarantine/limits.go
@@ -24,6 +24,10 @@
 //     MaxReportedCompletions.
 //   - A front remembers for maxBroken requests when one broke off; the older ones lose first. Repeats
 //     of a forgotten one count by the time between their crashes.
+//   - The leader records for the next one, which may know of no front that saw the crashes,
+//     maxRecordedCrashes crashes, and of each maxRecordedParts parts in the order of the reports,
+//     the likeliest first, and maxRecordedSuspects that were in several crashes. The oldest crashes
+//     lose first. A part that is not recorded in its first crash is in its second one.
 //   - A part is reported with maxRequestsPerSighting requests of a crash.
 //   - The leader tracks maxTrackedRequests requests, and maxTrackedParts parts that were in several
 //     crashes. Those with the fewest crashes lose first; among equals, the requests of the crash,
@@ -63,6 +67,14 @@
 	maxBroken    = 4096
 	// MaxReportedCompletions limits the completions of suspects in one report.
 	MaxReportedCompletions = 1024
+	// maxRecordedCrashes limits the crashes in an EvidenceRecord, and maxRecordedBytes the names
+	// in them. Of one crash maxRecordedRequests requests are recorded, maxRecordedParts parts,
+	// and maxRecordedSuspects suspected parts in addition.
+	maxRecordedCrashes  = 128
+	maxRecordedBytes    = 1 << 20
+	maxRecordedRequests = 256
+	maxRecordedParts    = 1024
+	maxRecordedSuspects = 1024
 	// maxTrackedRequests and maxTrackedParts limit the suspects that the leader tracks, and
 	// maxFirstSightings the parts that were in one crash only.
 	maxTrackedRequests = 8192
--- a/internal/quarantine/limits_test.go
+++ b/internal/quarantine/limits_test.go
@@ -180,3 +180,36 @@
 	f.advance(2 * completionReportTime)
 	f.check(0, f.request(s.parts...))
 }
+
+// Guards against a fatal part that is found late because the leader is lost, with the fronts that
+// saw the crashes or without them, and the next one gets the evidence on few of many parts.
+func TestEvidenceOnManyPartsOutlivesTheLeader(t *testing.T) {
+	for _, restart := range []bool{false, true} {
+		f := newTestFleet(t, 3)
+		s := session{f, names("session-", 2000)}
+		beside := func(n int) []Request {
+			return append(s.running(n), f.request(names(fmt.Sprintf("own-%d-", n), 4000)...))
+		}
+		before := func(n int) []string { return names(fmt.Sprintf("fatal-%d-", n), 3000) }
+		arrivals := f.sendFatal("fatal", before, beside, func(n int) {
+			s.complete(n)
+			f.advance(fatalInterval / 3)
+			if n == 1 || n == 3 || n == 5 {
+				f.replaceLeader(restart)
+			}
+		})
+		f.check(arrivals, f.request(s.parts...), f.request(names("own-1-", 4000)...))
+		if size := recordBytes(f.record); size > maxRecordedBytes {
+			t.Errorf("the record has %d bytes of names, want %d at most", size, maxRecordedBytes)
+		}
+	}
+}
+
+// recordBytes returns the size of the names in a record.
+func recordBytes(r EvidenceRecord) int {
+	size := 0
+	for _, c := range r.Crashes {
+		size += c.bytes()
+	}
+	return size
+}
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -6,14 +6,6 @@
 	"time"
 )
 
-const (
-	// maxRecordedCrashes limits the crashes in an EvidenceRecord, maxRecordedBytes the names in
-	// them, and maxRecordedRequests the requests of one crash.
-	maxRecordedCrashes  = 128
-	maxRecordedBytes    = 1 << 20
-	maxRecordedRequests = 256
-)
-
 // EvidenceRecord is the evidence that a leader records for its successors. Times are Unix
 // milliseconds by the clock of the leader that has recorded them.
 type EvidenceRecord struct {
@@ -106,17 +98,26 @@
 	requests []BrokenRequest
 }
 
-// noteCrash notes the requests of a crash that no record has.
-func (t *Tracker) noteCrash(id crashID, requests []BrokenRequest) {
+// recordedCrash is what is recorded of a crash, or is about to be: its requests, and hashes of its
+// parts.
+type recordedCrash struct {
+	requests map[string]bool
+	parts    map[uint64]bool
+}
+
+// noteCrash notes what no record has of the requests of a crash.
+func (t *Tracker) noteCrash(id crashID, at time.Duration, requests []BrokenRequest) {
 	known := t.recorded[id]
 	if known == nil {
-		known = make(map[string]bool)
+		known = &recordedCrash{requests: make(map[string]bool), parts: make(map[uint64]bool)}
 		t.recorded[id] = known
 	}
 	var added []BrokenRequest
 	for _, r := range requests {
-		if !known[r.Key] && len(known) < maxRecordedRequests {
-			known[r.Key] = true
+		isNew := !known.requests[r.Key] && len(known.requests) < maxRecordedRequests
+		r.Parts = t.unrecordedParts(known, at, r.Parts)
+		if isNew || len(r.Parts) > 0 {
+			known.requests[r.Key] = true
 			added = append(added, r)
 		}
 	}
@@ -126,6 +127,24 @@
 	}
 }
 
+// unrecordedParts returns the parts that have to be recorded for a crash. Those that have completed
+// since do not count.
+func (t *Tracker) unrecordedParts(known *recordedCrash, at time.Duration, parts []Part) []Part {
+	var list []Part
+	for _, part := range parts {
+		limit := maxRecordedParts
+		if t.suspects[part.ID] != nil {
+			limit += maxRecordedSuspects
+		}
+		h := t.first.hash(part.ID)
+		if !known.parts[h] && part.CompletedAt < at && len(known.parts) < limit {
+			known.parts[h] = true
+			list = append(list, part)
+		}
+	}
+	return list
+}
+
 // Unrecorded is the evidence that has to be recorded next.
 type Unrecorded struct {
 	Record EvidenceRecord
--- a/internal/quarantine/record_test.go
+++ b/internal/quarantine/record_test.go
@@ -104,7 +104,7 @@
 	for i := range 2 * maxRecordedRequests {
 		crashOf(tracker, "engine", 40, request(fmt.Sprint("r", i)))
 	}
-	if n := len(tracker.recorded[crashID{"engine", 40 * time.Second}]); n != maxRecordedRequests {
+	if n := len(tracker.recorded[crashID{"engine", 40 * time.Second}].requests); n != maxRecordedRequests {
 		t.Errorf("%d requests of one crash are recorded, want %d", n, maxRecordedRequests)
 	}
 }
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -26,10 +26,9 @@
 	// are known to be, and cleared holds those that have completed since.
 	quarantinedSince map[string]time.Duration
 	cleared          map[string]bool
-	// recorded holds the requests of each crash that are recorded for the next leader, or are
-	// about to be. unrecorded holds the crashes that are not recorded yet, and
+	// recorded holds what is recorded of each crash for the next leader. unrecorded holds the crashes that are not recorded yet, and
 	// unrecordedCompletions the completions that have ended evidence since the last record.
-	recorded              map[crashID]map[string]bool
+	recorded              map[crashID]*recordedCrash
 	unrecorded            []unrecordedCrash
 	unrecordedCompletions map[string]time.Duration
 	// restoredAt is when the record of the previous leaders was applied; 0 if it was not.
@@ -43,7 +42,7 @@
 	return &Tracker{
 		suspects: make(map[string]*evidence), first: newFirstSightings(), quarantined: make(map[string]bool), crashes: make(map[string][]time.Duration),
 		explained: make(map[crashID]bool), quarantinedSince: make(map[string]time.Duration), cleared: make(map[string]bool),
-		recorded: make(map[crashID]map[string]bool), unrecordedCompletions: make(map[string]time.Duration), lastPartQuarantine: math.MinInt64,
+		recorded: make(map[crashID]*recordedCrash), unrecordedCompletions: make(map[string]time.Duration), lastPartQuarantine: math.MinInt64,
 	}
 }
 
@@ -72,15 +71,15 @@
 	if slices.ContainsFunc(c.Requests, t.hasQuarantinedPart) {
 		t.explain(id)
 	}
-	if !t.explained[id] {
-		t.noteCrash(id, c.Requests)
-	}
 	for _, r := range c.Requests {
 		t.recordRequest(now, id, c.At, r)
 		for _, part := range r.Parts {
 			t.recordPart(now, id, c.At, part, r)
 		}
 	}
+	if !t.explained[id] {
+		t.noteCrash(id, c.At, c.Requests)
+	}
 }
 
 // identify returns the identity of a crash, which is the same for all reports about it. An
@@ -272,7 +271,7 @@
 			delete(t.crashes, engine)
 		}
 	}
-	maps.DeleteFunc(t.recorded, func(id crashID, _ map[string]bool) bool { return now-id.at > evidenceLifetime })
+	maps.DeleteFunc(t.recorded, func(id crashID, _ *recordedCrash) bool { return now-id.at > evidenceLifetime })
 	maps.DeleteFunc(t.explained, func(id crashID, _ bool) bool { return now-id.at > evidenceLifetime })
 	t.first.dropExpired(now - evidenceLifetime)
 	for suspect, e := range t.suspects {
