--- a/internal/edge/corefollow_test.go
+++ b/internal/edge/corefollow_test.go
@@ -11,6 +11,7 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/cuminwing/cuminwing/internal/fleet"
+	"github.com/cuminwing/cuminwing/internal/quarantine"
 	"github.com/cuminwing/cuminwing/internal/raft"
 	followv1 "github.com/cuminwing/cuminwing/proto/follow/v1"
 )
@@ -147,6 +148,38 @@
 	}
 }
 
+// Guards against fronts that lose the core because their reports on the crash of an engine, with
+// prompts of many parts, exceed what the leader reads of one call.
+func TestLargeReportsOfManyFrontsReachTheLeader(t *testing.T) {
+	const fronts = 32
+	d := newDeployment(t, 3)
+	leader, followers := d.leader()
+	var reports []*followv1.FrontReport
+	for i := range fronts {
+		report := reportOf(fmt.Sprint("f", i))
+		crash := &followv1.EngineCrash{Engine: "engine", AgeMs: 1}
+		for j := range 64 {
+			r := &followv1.BrokenRequest{Key: quarantine.RequestKey(fmt.Sprint(i, "-", j))}
+			for k := range quarantine.MaxChunkParts {
+				r.Parts = append(r.Parts, fmt.Sprintf("%d-%d-%d", i, j, k))
+			}
+			crash.Requests = append(crash.Requests, r)
+		}
+		report.Crashes = append(report.Crashes, crash)
+		reports = append(reports, report)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout*10)
+	defer cancel()
+	relayed, err := followers[0].core.relayReports(ctx, reports)
+	if err != nil || len(relayed) != fronts {
+		t.Fatalf("%d of %d reports are relayed: %v", len(relayed), fronts, err)
+	}
+	leads, _ := leader.core.leadership()
+	if n := leads.allocator.VMCount(); n != fronts {
+		t.Errorf("the leader knows %d fronts, want %d", n, fronts)
+	}
+}
+
 // Guards against an old incarnation of a front whose delayed report replaces that
 // of its successor.
 func TestReportOfAnEarlierIncarnationGetsNoGrant(t *testing.T) {
