front: the log line of a crash has the number of parts left out of its report

Nothing in the logs distinguished a part that was not reported from one that the leader did not choose.

--- a/internal/edge/frontquarantine.go
+++ b/internal/edge/frontquarantine.go
@@ -114,9 +114,9 @@
 		requests = append(requests, r.SentRequest)
 	}
 	keys, parts := crashNames(requests)
+	leftOut := q.RecordCrash(t.ID+"/"+strconv.FormatInt(t.Started, 10), at, requests, isUnresponsive(err))
 	q.logger.Info("engine crashed while it served requests", zap.String("target", t.ID), zap.Int("requests", len(requests)),
-		zap.Strings("keys", keys), zap.Strings("parts", parts), zap.Error(err))
-	q.RecordCrash(t.ID+"/"+strconv.FormatInt(t.Started, 10), at, requests, isUnresponsive(err))
+		zap.Int("parts_left_out", leftOut), zap.Strings("keys", keys), zap.Strings("parts", parts), zap.Error(err))
 }
 
 // crashNames returns the sorted keys of requests and the names of their parts for the log, each
--- a/internal/quarantine/crashreport.go
+++ b/internal/quarantine/crashreport.go
@@ -17,13 +17,19 @@
 	crashes uint64
 }
 
-// pieces returns the report of a crash in pieces of limited size, the likeliest evidence first.
-func (c *crashReporter) pieces(crash Crash) []Crash {
+// pieces returns the report of a crash in pieces of limited size, the likeliest evidence first, and
+// the number of parts that are left out.
+func (c *crashReporter) pieces(crash Crash) (pieces []Crash, leftOut int) {
 	c.crashes++
 	unknown, completed := c.split(crash.Requests)
 	c.limit(unknown, maxCrashParts)
 	c.limit(completed, min(maxCompletedParts, maxCrashParts-partCount(unknown)))
 	chunks := append(chunks(unknown, true), chunks(completed, false)...)
+	return packed(crash, chunks), differentParts(crash.Requests) - differentParts(chunks)
+}
+
+// packed divides the chunks of a crash into pieces of limited size.
+func packed(crash Crash, chunks []BrokenRequest) []Crash {
 	var pieces []Crash
 	size := 0
 	for _, chunk := range chunks {
@@ -116,6 +122,17 @@
 	}
 }
 
+// differentParts returns the number of different parts in the requests.
+func differentParts(requests []BrokenRequest) int {
+	seen := make(map[string]bool)
+	for _, r := range requests {
+		for _, part := range r.Parts {
+			seen[part.ID] = true
+		}
+	}
+	return len(seen)
+}
+
 func partCounts(requests []BrokenRequest) []int {
 	counts := make([]int, len(requests))
 	for i, r := range requests {
--- a/internal/quarantine/limits_test.go
+++ b/internal/quarantine/limits_test.go
@@ -213,3 +213,21 @@
 	}
 	return size
 }
+
+// Guards against evidence that is left out of the report of a crash without a trace in the log.
+func TestLeftOutPartsAreCounted(t *testing.T) {
+	o, _ := newTestObserver()
+	var requests []SentRequest
+	for i := range 20 {
+		r := Request{Key: RequestKey(fmt.Sprint(i)), Parts: append(names(fmt.Sprint(i, "-"), 4000), "shared")}
+		requests = append(requests, SentRequest{Request: r})
+	}
+	if n := o.RecordCrash("a", o.Clock(), requests[:10], false); n != 0 {
+		t.Errorf("%d parts are left out of a report within the limits", n)
+	}
+	// The equal shares of the requests are rounded down, and "shared" is in some of them.
+	want, tolerance := 20*4000-maxCrashParts, len(requests)+maxRequestsPerSighting
+	if n := o.RecordCrash("b", o.Clock(), requests, false); n < want || n > want+tolerance {
+		t.Errorf("%d parts are left out of a report, want %d", n, want)
+	}
+}
--- a/internal/quarantine/observer.go
+++ b/internal/quarantine/observer.go
@@ -141,10 +141,11 @@
 
 // RecordCrash records the crash of an engine and the requests that broke off. If the engine
 // is only unresponsive, requests that were sent again do not count at once: all engines of a
-// zone may be lost, one after the other for each request.
-func (o *Observer) RecordCrash(engine string, at time.Duration, requests []SentRequest, unresponsive bool) {
+// zone may be lost, one after the other for each request. It returns the number of parts that are
+// left out of the report, because of the limits on its size.
+func (o *Observer) RecordCrash(engine string, at time.Duration, requests []SentRequest, unresponsive bool) (leftOut int) {
 	if len(requests) == 0 {
-		return
+		return 0
 	}
 	crash := Crash{Engine: engine, At: at}
 	for _, r := range mostResent(requests) {
@@ -155,7 +156,8 @@
 		crash.Requests = append(crash.Requests, broken)
 	}
 	o.mu.Lock()
-	for _, piece := range o.reporter.pieces(crash) {
+	pieces, leftOut := o.reporter.pieces(crash)
+	for _, piece := range pieces {
 		o.recorded++
 		o.pieces = append(o.pieces, numberedPiece{piece, o.recorded})
 	}
@@ -165,6 +167,7 @@
 	case o.due <- struct{}{}:
 	default:
 	}
+	return leftOut
 }
 
 // mostResent returns up to maxCrashRequests of the requests, first those that were sent again.
