--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -106,6 +106,9 @@
 		o.SetQuarantined(f.quarantined)
 	}
 	u := f.leader.Unrecorded(f.now, testWall.Add(f.now))
+	if u.IsEmpty() {
+		return
+	}
 	f.record = f.record.Add(u.Record)
 	f.leader.ConfirmRecorded(u)
 }
--- a/internal/quarantine/limits.go
+++ b/internal/quarantine/limits.go
@@ -41,6 +41,9 @@
 //     equals, the requests, or the crashes, have one each in turn, others first after each
 //     askedTime. Of a request the last parts come first: of parts that were in the same crashes,
 //     the last one is quarantined. What is not asked for is not quarantined.
+//   - The leader compares maxCandidates requests in one decision, those with the most crashes, others
+//     after each askedTime, and counts maxCrashesPerSuspect crashes of a suspect, which are more
+//     than any decision needs.
 //   - A front keeps maxKeptParts for the next leader. Of the crashes that the leader has, the one
 //     with the most parts loses first, beginning with those that have completed.
 const (
@@ -61,8 +64,8 @@
 	maxKeptParts  = 131072
 	maxKeptPieces = 256
 	// maxCompleted limits the requests and parts whose last completion a front remembers, and
-	// maxBroken the requests of which it remembers when one broke off. It exceeds the number
-	// of suspects and of kept parts.
+	// maxBroken the requests of which it remembers when one broke off. maxCompleted exceeds the
+	// number of suspects and of kept parts.
 	maxCompleted = 262144
 	maxBroken    = 4096
 	// MaxReportedCompletions limits the completions of suspects in one report.
@@ -88,6 +91,10 @@
 	// askedTime is the time after which others of the suspects with the same number of crashes
 	// are asked for. It covers completionReportTime and the interval of a few crashes.
 	askedTime = 4 * time.Second
+	// maxCandidates limits the requests that are compared in one decision, and
+	// maxCrashesPerSuspect the crashes that are kept for one suspect.
+	maxCandidates        = 128
+	maxCrashesPerSuspect = 64
 	// maxRequestsPerSighting limits the requests with a part that are told apart in one crash.
 	maxRequestsPerSighting = 8
 )
--- a/internal/quarantine/limits_test.go
+++ b/internal/quarantine/limits_test.go
@@ -117,7 +117,7 @@
 				t.Errorf("a report has %d bytes of names, want %d at most", f.largestReport, maxReportBytes)
 			}
 			for _, o := range f.fronts {
-				if n := keptParts(o.pieces); n > maxKeptParts {
+				if n := o.crashes.partCount(); n > maxKeptParts {
 					t.Errorf("a front keeps %d parts, want %d at most", n, maxKeptParts)
 				}
 			}
--- a/internal/quarantine/observer.go
+++ b/internal/quarantine/observer.go
@@ -7,21 +7,15 @@
 	"time"
 )
 
-// reportLifetime is how long a front keeps the crashes that it has reported.
-const reportLifetime = time.Minute
-
 // Observer collects the evidence of one front. It is safe for concurrent use.
 type Observer struct {
 	// Clock returns the time of a clock that continues during a suspension.
 	Clock func() time.Duration
 
-	mu       sync.Mutex
-	reporter crashReporter
-	// pieces are the pieces of the recent crashes, oldest first. recorded is the number of
-	// the last one, and reported that of the last one that the present leader has.
-	pieces             []numberedPiece
-	recorded, reported int
-	completed          completions
+	mu        sync.Mutex
+	reporter  crashReporter
+	crashes   crashLog
+	completed completions
 	// broken maps requests to the time when one last broke off.
 	broken    map[string]time.Duration
 	suspects  []string
@@ -33,12 +27,6 @@
 	due            chan struct{}
 }
 
-// numberedPiece is a piece of a crash. The pieces of a front are numbered from 1 on.
-type numberedPiece struct {
-	Crash
-	number int
-}
-
 // NewObserver returns an Observer without evidence.
 func NewObserver(clock func() time.Duration) *Observer {
 	o := &Observer{
@@ -47,7 +35,7 @@
 	}
 	o.reporter = crashReporter{
 		seed:         maphash.MakeSeed(),
-		hasCompleted: func(id string) bool { return o.completed.last(id) != 0 },
+		hasCompleted: func(id string) bool { return o.lastCompletion(id, clock()) != 0 },
 		isSuspected:  func(id string) bool { return o.isSuspect[id] },
 	}
 	return o
@@ -108,13 +96,7 @@
 
 // neededCompletions returns the suspects, and the requests and parts in the kept crashes.
 func (o *Observer) neededCompletions() []string {
-	names := slices.Clone(o.suspects)
-	for _, p := range o.pieces {
-		for _, r := range p.Requests {
-			names = append(names, r.suspects()...)
-		}
-	}
-	return names
+	return append(o.crashes.suspects(), o.suspects...)
 }
 
 // SentRequest is a request that broke off, and when it was sent. RecordBreak tells whether it
@@ -157,11 +139,7 @@
 	}
 	o.mu.Lock()
 	pieces, leftOut := o.reporter.pieces(crash)
-	for _, piece := range pieces {
-		o.recorded++
-		o.pieces = append(o.pieces, numberedPiece{piece, o.recorded})
-	}
-	o.limitPieces()
+	o.crashes.add(pieces)
 	o.mu.Unlock()
 	select {
 	case o.due <- struct{}{}:
@@ -180,44 +158,6 @@
 	return append(resent, others...)[:maxCrashRequests]
 }
 
-// limitPieces removes pieces until the limits are kept: of those that the leader has, if there are
-// any, the last one of the largest crash.
-func (o *Observer) limitPieces() {
-	for len(o.pieces) > maxKeptPieces || keptParts(o.pieces) > maxKeptParts {
-		reported := 0
-		for reported < len(o.pieces) && o.pieces[reported].number <= o.reported {
-			reported++
-		}
-		if reported == 0 {
-			reported = len(o.pieces)
-		}
-		i := lastOfLargestCrash(o.pieces[:reported])
-		o.pieces = slices.Delete(o.pieces, i, i+1)
-	}
-}
-
-// lastOfLargestCrash returns the index of the last piece of the crash with the most parts.
-func lastOfLargestCrash(pieces []numberedPiece) int {
-	sizes := make(map[crashID]int)
-	largest := 0
-	for i, p := range pieces {
-		id := crashID{p.Engine, p.At}
-		sizes[id] += 1 + partCount(p.Requests)
-		if l := pieces[largest]; sizes[id] > sizes[crashID{l.Engine, l.At}] || id == (crashID{l.Engine, l.At}) {
-			largest = i
-		}
-	}
-	return largest
-}
-
-func keptParts(pieces []numberedPiece) int {
-	count := 0
-	for _, p := range pieces {
-		count += partCount(p.Requests)
-	}
-	return count
-}
-
 // ReportDue returns a channel that signals that a crash has to be reported at once.
 func (o *Observer) ReportDue() <-chan struct{} { return o.due }
 
@@ -225,8 +165,8 @@
 type Report struct {
 	Crashes     []Crash
 	Completions []Completion
-	// last is the number of the last piece of a crash that the leader has with the report.
-	last int
+	// lastPiece is the number of the last piece of a crash that the leader has with the report.
+	lastPiece int
 }
 
 // Report returns the crashes that the leader does not know, and the completions of suspects.
@@ -234,17 +174,11 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.Clock()
-	o.pieces = slices.DeleteFunc(o.pieces, func(p numberedPiece) bool { return now-p.At > reportLifetime })
-	r := Report{last: o.reported}
-	size := 0
-	for _, p := range o.pieces {
-		if p.number <= o.reported {
-			continue
-		}
-		if size += p.bytes(); size > maxReportBytes && len(r.Crashes) > 0 {
-			break
-		}
-		r.Crashes, r.last = append(r.Crashes, o.withCompletions(p.Crash, now)), p.number
+	o.crashes.dropExpired(now)
+	var r Report
+	r.Crashes, r.lastPiece = o.crashes.unreported()
+	for i := range r.Crashes {
+		r.Crashes[i] = o.withCompletions(r.Crashes[i], now)
 	}
 	for _, suspect := range o.suspects {
 		if at := o.lastCompletion(suspect, now); at != 0 && len(r.Completions) < MaxReportedCompletions {
@@ -277,25 +211,13 @@
 	return 0
 }
 
-// bytes returns the size of the names in the crash.
-func (c *Crash) bytes() int {
-	size := len(c.Engine)
-	for _, r := range c.Requests {
-		size += r.bytes()
-	}
-	return size
-}
-
 // Confirm records that the leader has received a report and which parts it suspects.
 // With newLeader set, the crashes of before have to be reported again.
 func (o *Observer) Confirm(r Report, newLeader bool, suspects []string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.setSuspects(suspects)
-	o.reported = max(o.reported, r.last)
-	if newLeader {
-		o.reported = 0
-	}
+	o.crashes.confirm(r.lastPiece, newLeader)
 }
 
 // setSuspects replaces the suspects, and keeps the time since which requests are suspected.
--- a/internal/quarantine/priority.go
+++ b/internal/quarantine/priority.go
@@ -19,11 +19,6 @@
 	return list[:limit]
 }
 
-// byCrashes orders suspects by descending number of crashes.
-func (t *Tracker) byCrashes(a, b string) int {
-	return cmp.Or(cmp.Compare(len(t.suspects[b].sightings), len(t.suspects[a].sightings)), cmp.Compare(a, b))
-}
-
 // makeRoom removes a quarter of the requests, or of the parts, if a further one exceeds the limit.
 func (t *Tracker) makeRoom(now time.Duration, added string) {
 	count, limit, remove := t.partCount, maxTrackedParts, t.demote
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -65,10 +65,6 @@
 	crashReportTime = 4 * time.Second
 	// evidenceLifetime is how long a crash counts.
 	evidenceLifetime = 10 * time.Minute
-	// maxCandidates limits the requests that are compared in one decision.
-	maxCandidates = 128
-	// maxCrashesPerSuspect limits the crashes that are kept for one suspect.
-	maxCrashesPerSuspect = 64
 )
 
 // Request is a request as far as it matters for the evidence.
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -62,8 +62,9 @@
 	names := make(map[string]bool)
 	for _, c := range r.Crashes {
 		for _, request := range c.Requests {
-			for _, suspect := range request.request().suspects() {
-				names[suspect] = true
+			names[request.Key] = true
+			for _, part := range request.Parts {
+				names[ReportedID(part)] = true
 			}
 		}
 	}
@@ -86,8 +87,11 @@
 // bytes returns the size of the names in the crash.
 func (c *CrashRecord) bytes() int {
 	size := len(c.Engine)
-	for i := range c.Requests {
-		size += c.Requests[i].request().bytes()
+	for _, r := range c.Requests {
+		size += len(r.Key)
+		for _, part := range r.Parts {
+			size += len(part)
+		}
 	}
 	return size
 }
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -116,7 +116,7 @@
 	return slices.ContainsFunc(r.Parts, func(part Part) bool { return t.quarantined[part.ID] })
 }
 
-// isExplained reports whether a crash says nothing about a suspect.
+// isExplainedFor reports whether a crash says nothing about a suspect.
 func (t *Tracker) isExplainedFor(suspect string, id crashID) bool {
 	return t.explained[id] && !t.quarantined[suspect]
 }
@@ -207,7 +207,7 @@
 }
 
 // Suspects returns the sorted requests and parts of which fronts have to report
-// completions: the suspected and the quarantined ones. For the others the time for a decision begins once they are asked for.
+// completions: the suspected and the quarantined ones, within limits.
 func (t *Tracker) Suspects(now time.Duration) []string {
 	var requests, parts []string
 	for suspect, e := range t.suspects {
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -22,7 +22,7 @@
 		}
 	}
 	if len(candidates) > maxCandidates {
-		slices.SortFunc(candidates, t.byCrashes)
+		t.sortByPriority(candidates, uint64(now/askedTime))
 		candidates = candidates[:maxCandidates]
 	}
 	fatal := make(map[string][]sighting)
