--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -15,8 +15,6 @@
 	// depth is the highest position of a part in a prompt. Prompts are chains of parts, so
 	// a part at a higher position is in fewer requests than those before it.
 	depth int
-	// parts are the parts of a request.
-	parts []string
 	// suspectedSince is when the request or part became a suspect; 0 if it is none.
 	suspectedSince time.Duration
 	lastCompletion time.Duration
@@ -59,14 +57,25 @@
 		i = len(e.sightings)
 		e.sightings = append(e.sightings, sighting{crash: id, at: at})
 	}
-	s := &e.sightings[i]
+	e.sightings[i].add(at, r)
+	e.sightings[i].sentAt = max(e.sightings[i].sentAt, sentAt)
+	slices.SortStableFunc(e.sightings, func(a, b sighting) int { return cmp.Compare(a.at, b.at) })
+}
+
+// add adds a report of the crash with one request.
+func (s *sighting) add(at time.Duration, r BrokenRequest) {
 	s.at = min(s.at, at)
 	s.resent = s.resent || r.Resent
-	s.sentAt = max(s.sentAt, sentAt)
 	if !slices.Contains(s.requests, r.Key) && len(s.requests) < maxRequestsPerSighting {
 		s.requests = append(s.requests, r.Key)
 	}
-	slices.SortStableFunc(e.sightings, func(a, b sighting) int { return cmp.Compare(a.at, b.at) })
+}
+
+// clone returns a copy that shares no memory with the sighting.
+func (s *sighting) clone() sighting {
+	copied := *s
+	copied.requests = slices.Clone(s.requests)
+	return copied
 }
 
 // updateSuspicion sets since when the request or part is a suspect.
@@ -144,6 +153,12 @@
 	return slices.ContainsFunc(e.sightings, func(s sighting) bool { return s.crash == id })
 }
 
+// hasRequest reports whether a request was in a crash with the part. It was not told apart from
+// others if more than maxRequestsPerSighting requests with the part were in that crash.
+func (e *evidence) hasRequest(key string) bool {
+	return slices.ContainsFunc(e.sightings, func(s sighting) bool { return slices.Contains(s.requests, key) })
+}
+
 // sharesCrash reports whether two suspects were in the same crash.
 func (e *evidence) sharesCrash(other *evidence) bool {
 	return slices.ContainsFunc(e.sightings, func(s sighting) bool { return other.inCrash(s.crash) })
--- a/internal/quarantine/observer_test.go
+++ b/internal/quarantine/observer_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 	"time"
+	"unicode/utf8"
 )
 
 // newTestObserver returns an Observer and the clock that it reads.
@@ -21,6 +22,15 @@
 	o.RecordCrash(engine, o.Clock(), []SentRequest{{Request: r}}, false)
 }
 
+// ids returns the IDs of parts.
+func ids(parts []Part) []string {
+	var list []string
+	for _, part := range parts {
+		list = append(list, part.ID)
+	}
+	return list
+}
+
 func engines(r Report) []string {
 	var list []string
 	for _, c := range r.Crashes {
@@ -73,23 +83,27 @@
 		*now += time.Millisecond
 		o.RecordCompletion(Request{Key: RequestKey(fmt.Sprint(i)), Parts: []string{fmt.Sprint(i)}})
 	}
-	if n := len(o.completed); n > maxCompleted {
+	if n := len(o.completed.at); n > maxCompleted {
 		t.Errorf("%d completions are kept, want %d at most", n, maxCompleted)
 	}
-	for i := range 2 * maxKeptCrashes {
+	for i := range 2 * maxKeptPieces {
 		recordCrash(o, fmt.Sprint(i), "p")
 	}
-	if got := o.Report().Crashes; len(got) != maxKeptCrashes || got[len(got)-1].Engine != fmt.Sprint(2*maxKeptCrashes-1) {
-		t.Errorf("%d crashes are kept, the last at %s; want the last %d", len(got), got[len(got)-1].Engine, maxKeptCrashes)
+	if got := o.Report().Crashes; len(got) != maxKeptPieces || got[len(got)-1].Engine != fmt.Sprint(2*maxKeptPieces-1) {
+		t.Errorf("%d crashes are kept, the last at %s; want the last %d", len(got), got[len(got)-1].Engine, maxKeptPieces)
 	}
 }
 
 // Guards against memory that grows with the names that callers choose.
 func TestLongNamesOfPartsAreNotKept(t *testing.T) {
 	o, _ := newTestObserver()
-	o.RecordCompletion(Request{Key: RequestKey("r"), Parts: []string{strings.Repeat("x", MaxNameBytes+1), "part"}})
-	if len(o.completed) != 2 {
-		t.Errorf("%d names are kept, want those of the request and of the short part", len(o.completed))
+	parts := []string{strings.Repeat("x", MaxNameBytes+1), "part"}
+	o.RecordCompletion(Request{Key: RequestKey("r"), Parts: parts})
+	recordCrash(o, "a", parts...)
+	for _, name := range ids(o.Report().Crashes[0].Requests[0].Parts) {
+		if len(name) > MaxNameBytes {
+			t.Errorf("a name of %d bytes is kept, want %d at most", len(name), MaxNameBytes)
+		}
 	}
 }
 
@@ -123,9 +137,15 @@
 	if len(r.Crashes) != 2 {
 		t.Fatalf("reported crashes %v, want both", r.Crashes)
 	}
-	for i, want := range [][]string{{"p"}, {}} {
-		if got := r.Crashes[i].Requests[0].Parts; !slices.Equal(got, want) {
-			t.Errorf("crash %d has the parts %q, want the usable names %q only", i, got, want)
+	for i, want := range []int{1 + len(unusable), len(unusable)} {
+		got := ids(r.Crashes[i].Requests[0].Parts)
+		if len(slices.Compact(slices.Sorted(slices.Values(got)))) != want {
+			t.Errorf("crash %d has the parts %q, want %d different ones", i, got, want)
+		}
+		for _, name := range got {
+			if name == "" || len(name) > MaxNameBytes || !utf8.ValidString(name) || IsRequestKey(name) {
+				t.Errorf("crash %d has a part with the unusable name %q", i, name)
+			}
 		}
 	}
 	if len(r.Completions) != 0 {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -17,13 +17,6 @@
 // Time is how long a request or part stays quarantined.
 const Time = time.Hour
 
-// MaxNameBytes limits the names of parts, and the keys of requests, that are tracked.
-// MaxParts limits the parts of one request.
-const (
-	MaxNameBytes = 256
-	MaxParts     = 64
-)
-
 // requestPrefix distinguishes the keys of requests from the names of parts, which
 // contain no colon.
 const requestPrefix = "request:"
@@ -72,16 +65,6 @@
 	crashReportTime = 4 * time.Second
 	// evidenceLifetime is how long a crash counts.
 	evidenceLifetime = 10 * time.Minute
-	// maxTracked limits the requests and parts that are tracked, and maxSuspects the
-	// requests and the parts that fronts are asked for.
-	maxTracked  = 8192
-	maxSuspects = 128
-	// maxCandidates limits the requests that are compared in one decision.
-	maxCandidates = 128
-	// maxCrashesPerSuspect limits the crashes that are kept for one suspect, and
-	// maxRequestsPerSighting the requests with a part that are told apart in one crash.
-	maxCrashesPerSuspect   = 64
-	maxRequestsPerSighting = 8
 )
 
 // Request is a request as far as it matters for the evidence.
@@ -89,10 +72,22 @@
 	// Key identifies the request and its repeats, which have the same path, caller and
 	// body. RequestKey makes it.
 	Key string
-	// Parts are the parts of its prompt that other requests may share.
+	// Parts are the names of the parts of its prompt that other requests may share, in
+	// their order.
 	Parts []string
 }
 
+// Part is a part of the prompt of a broken request.
+type Part struct {
+	// ID identifies the part: its name, or a digest of it.
+	ID string
+	// Position is the number of parts before it in the prompt.
+	Position int
+	// CompletedAt is the last completed request with the part at the front that has reported
+	// the crash; 0 if there is none.
+	CompletedAt time.Duration
+}
+
 // RequestKey returns the key of a request from a digest of its path, caller and body.
 func RequestKey(digest string) string { return requestPrefix + digest }
 
@@ -101,7 +96,13 @@
 
 // BrokenRequest is a request that broke off when its engine crashed.
 type BrokenRequest struct {
-	Request
+	Key string
+	// Parts are shared parts of its prompt. A crash may have the request several times,
+	// each with other parts.
+	Parts []Part
+	// CompletedAt is the last completed request with the key at the front that has reported
+	// the crash; 0 if there is none.
+	CompletedAt time.Duration
 	// SentAt is when the request was sent; 0 if that is not known.
 	SentAt time.Duration
 	// Resent is set if the request was sent after the same front had seen another one
@@ -109,6 +110,15 @@
 	Resent bool
 }
 
+// suspects returns the key of a request and the IDs of its parts.
+func (r BrokenRequest) suspects() []string {
+	list := []string{r.Key}
+	for _, part := range r.Parts {
+		list = append(list, part.ID)
+	}
+	return list
+}
+
 // Crash is the crash of an engine as seen by one front.
 type Crash struct {
 	// Engine identifies the incarnation of the engine.
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -6,14 +6,6 @@
 	"time"
 )
 
-const (
-	// maxRecordedCrashes limits the crashes in an EvidenceRecord, maxRecordedBytes the names in
-	// them, and maxRecordedRequests the requests of one crash.
-	maxRecordedCrashes  = 128
-	maxRecordedBytes    = 1 << 20
-	maxRecordedRequests = 256
-)
-
 // EvidenceRecord is the evidence that a leader records for its successors. Times are Unix
 // milliseconds by the clock of the leader that has recorded them.
 type EvidenceRecord struct {
@@ -34,6 +26,9 @@
 type RequestRecord struct {
 	Key   string   `json:"key"`
 	Parts []string `json:"parts,omitempty"`
+	// Positions are the numbers of parts before each part in the prompt. They are missing if
+	// the first parts are recorded, and in records of the version before.
+	Positions []int `json:"positions,omitempty"`
 	// SentAt is when the request was sent; 0 if that is not known.
 	SentAt int64 `json:"sent_at,omitempty"`
 	Resent bool  `json:"resent,omitempty"`
@@ -67,21 +62,36 @@
 	names := make(map[string]bool)
 	for _, c := range r.Crashes {
 		for _, request := range c.Requests {
-			for _, suspect := range request.request().suspects() {
-				names[suspect] = true
+			names[request.Key] = true
+			for _, part := range request.Parts {
+				names[ReportedID(part)] = true
 			}
 		}
 	}
 	return names
 }
 
-func (r *RequestRecord) request() Request { return Request{Key: r.Key, Parts: r.Parts} }
+// request returns the broken request without its times.
+func (r *RequestRecord) request() BrokenRequest {
+	request := BrokenRequest{Key: r.Key, Resent: r.Resent}
+	for i, part := range r.Parts {
+		position := i
+		if i < len(r.Positions) {
+			position = r.Positions[i]
+		}
+		request.Parts = append(request.Parts, Part{ID: ReportedID(part), Position: position})
+	}
+	return request
+}
 
 // bytes returns the size of the names in the crash.
 func (c *CrashRecord) bytes() int {
 	size := len(c.Engine)
-	for i := range c.Requests {
-		size += c.Requests[i].request().bytes()
+	for _, r := range c.Requests {
+		size += len(r.Key)
+		for _, part := range r.Parts {
+			size += len(part)
+		}
 	}
 	return size
 }
@@ -92,17 +102,26 @@
 	requests []BrokenRequest
 }
 
-// noteCrash notes the requests of a crash that no record has.
-func (t *Tracker) noteCrash(id crashID, requests []BrokenRequest) {
+// recordedCrash is what is recorded of a crash, or is about to be: its requests, and hashes of its
+// parts.
+type recordedCrash struct {
+	requests map[string]bool
+	parts    map[uint64]bool
+}
+
+// noteCrash notes what no record has of the requests of a crash.
+func (t *Tracker) noteCrash(id crashID, at time.Duration, requests []BrokenRequest) {
 	known := t.recorded[id]
 	if known == nil {
-		known = make(map[string]bool)
+		known = &recordedCrash{requests: make(map[string]bool), parts: make(map[uint64]bool)}
 		t.recorded[id] = known
 	}
 	var added []BrokenRequest
 	for _, r := range requests {
-		if !known[r.Key] && len(known) < maxRecordedRequests {
-			known[r.Key] = true
+		isNew := !known.requests[r.Key] && len(known.requests) < maxRecordedRequests
+		r.Parts = t.unrecordedParts(known, at, r.Parts)
+		if isNew || len(r.Parts) > 0 {
+			known.requests[r.Key] = true
 			added = append(added, r)
 		}
 	}
@@ -112,6 +131,24 @@
 	}
 }
 
+// unrecordedParts returns the parts that have to be recorded for a crash. Those that have completed
+// since do not count.
+func (t *Tracker) unrecordedParts(known *recordedCrash, at time.Duration, parts []Part) []Part {
+	var list []Part
+	for _, part := range parts {
+		limit := maxRecordedParts
+		if t.suspects[part.ID] != nil {
+			limit += maxRecordedSuspects
+		}
+		h := t.first.hash(part.ID)
+		if !known.parts[h] && part.CompletedAt < at && len(known.parts) < limit {
+			known.parts[h] = true
+			list = append(list, part)
+		}
+	}
+	return list
+}
+
 // Unrecorded is the evidence that has to be recorded next.
 type Unrecorded struct {
 	Record EvidenceRecord
@@ -152,7 +189,10 @@
 func (c *unrecordedCrash) record(milliseconds func(time.Duration) int64) CrashRecord {
 	crash := CrashRecord{Engine: c.id.engine, At: milliseconds(c.id.at)}
 	for _, r := range c.requests {
-		request := RequestRecord{Key: r.Key, Parts: r.Parts, Resent: r.Resent}
+		request := RequestRecord{Key: r.Key, Resent: r.Resent}
+		for _, part := range r.Parts {
+			request.Parts, request.Positions = append(request.Parts, part.ID), append(request.Positions, part.Position)
+		}
 		if r.SentAt > 0 {
 			request.SentAt = milliseconds(r.SentAt)
 		}
@@ -181,7 +221,7 @@
 			continue
 		}
 		for _, r := range c.Requests {
-			request := BrokenRequest{Request: r.request(), Resent: r.Resent}
+			request := r.request()
 			if r.SentAt > 0 {
 				request.SentAt = since(r.SentAt)
 			}
--- a/internal/quarantine/release.go
+++ b/internal/quarantine/release.go
@@ -49,13 +49,13 @@
 	return over
 }
 
-// latestQuarantined returns up to maxSuspects of the quarantined requests and parts, those
+// latestQuarantined returns up to maxAskedQuarantined of the quarantined requests and parts, those
 // that were quarantined last.
 func (t *Tracker) latestQuarantined() []string {
 	list := slices.SortedFunc(maps.Keys(t.quarantinedSince), func(a, b string) int {
 		return cmp.Or(cmp.Compare(t.quarantinedSince[b], t.quarantinedSince[a]), cmp.Compare(a, b))
 	})
-	return list[:min(len(list), maxSuspects)]
+	return list[:min(len(list), maxAskedQuarantined)]
 }
 
 // Released returns what was quarantined by mistake: it has completed since, or its crashes have
@@ -102,12 +102,17 @@
 	}
 	isUnexplained := func(s sighting) bool {
 		return !slices.ContainsFunc(quarantined[s.crash], func(other string) bool {
-			return other != suspect && !slices.Contains(e.parts, other) && t.suspects[other].crashesWithout(e)
+			return other != suspect && !t.isPartOf(other, suspect) && t.suspects[other].crashesWithout(e)
 		})
 	}
 	return len(e.sightings) >= minSuspectCrashes && !slices.ContainsFunc(e.sightings, isUnexplained)
 }
 
+// isPartOf reports whether a suspect is a part of the prompt of another one.
+func (t *Tracker) isPartOf(part, request string) bool {
+	return !IsRequestKey(part) && t.suspects[part].hasRequest(request)
+}
+
 // crashesWithout reports whether the suspect was in several crashes without another one.
 func (e *evidence) crashesWithout(other *evidence) bool {
 	return distinctCrashes(without(e.sightings, func(s sighting) bool { return other.inCrash(s.crash) })) >= minSuspectCrashes
@@ -124,17 +129,17 @@
 	if e == nil {
 		return
 	}
-	e.sightings = without(e.sightings, func(s sighting) bool { return t.hasFatalPart(e, s.crash) })
+	e.sightings = without(e.sightings, func(s sighting) bool { return t.hasFatalPart(suspect, s.crash) })
 	if distinctCrashes(e.sightings) < minSuspectCrashes {
 		e.suspectedSince = 0
 	}
 }
 
 // hasFatalPart reports whether a quarantined part that a request does not have was in a crash.
-func (t *Tracker) hasFatalPart(request *evidence, id crashID) bool {
+func (t *Tracker) hasFatalPart(request string, id crashID) bool {
 	for other := range t.quarantined {
 		o := t.suspects[other]
-		if o != nil && !IsRequestKey(other) && !slices.Contains(request.parts, other) && o.inCrash(id) {
+		if o != nil && !IsRequestKey(other) && !o.hasRequest(request) && o.inCrash(id) {
 			return true
 		}
 	}
