--- a/internal/quarantine/completions.go
+++ b/internal/quarantine/completions.go
@@ -21,8 +21,8 @@
 	return c.at[maphash.String(c.seed, suspect)]
 }
 
-// record records a completion with a suspect. If the limit is reached, the older half of the
-// others is forgotten, but for those that needed returns.
+// record records a completion with a suspect. If the limit is reached, the older half is
+// forgotten, but for those that needed returns.
 func (c *completions) record(suspect string, now time.Duration, needed func() []string) {
 	h := maphash.String(c.seed, suspect)
 	if _, known := c.at[h]; !known && len(c.at) >= maxCompleted {
--- a/internal/quarantine/firstsightings.go
+++ b/internal/quarantine/firstsightings.go
@@ -114,6 +114,9 @@
 
 // put keeps of the evidence on a part what one crash says.
 func (f *firstSightings) put(part string, e *evidence) {
+	if len(e.sightings) == 0 && !e.hasCompleted() {
+		return
+	}
 	f.makeRoom()
 	first := firstSighting{position: e.depth, lastCompletion: e.lastCompletion}
 	if n := len(e.sightings); n > 0 {
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -181,8 +181,6 @@
 	return 4 * maxFatalArrivals
 }
 
-func noRequests(int) []Request { return nil }
-
 func nothing(int) {}
 
 // session has the sound requests of a caller, which share all parts but the fatal one.
--- a/internal/quarantine/limits.go
+++ b/internal/quarantine/limits.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// This file has all limits on the evidence of parts, so that one can see who loses what, where and
-// why. Each limit bounds memory or messages; none of them chooses by the position or the name of a
-// part, which callers choose:
+// This file has all limits on evidence, so that one can see who loses what, where and why. They bound
+// memory and messages. None drops evidence by the position or the name of a part, which callers
+// choose, and where requests compete, those with many parts lose first:
 //
 //   - A name over MaxNameBytes is replaced by a digest (names.go).
 //   - A request with more than MaxChunkParts parts is reported in several chunks.
