--- a/internal/quarantine/limits.go
+++ b/internal/quarantine/limits.go
@@ -81,7 +81,7 @@
 	// maxTrackedRequests and maxTrackedParts limit the suspects that the leader tracks, and
 	// maxFirstSightings the parts that were in one crash only.
 	maxTrackedRequests = 8192
-	maxTrackedParts    = 16384
+	maxTrackedParts    = 8192
 	maxFirstSightings  = 131072
 	// maxAskedRequests, maxAskedParts and maxAskedQuarantined limit the suspects that fronts
 	// are asked for.
--- a/internal/quarantine/priority.go
+++ b/internal/quarantine/priority.go
@@ -69,27 +69,37 @@
 	return p
 }
 
+// priority is the place of a suspect in the order of sortByPriority.
+type priority struct {
+	suspect        string
+	crashes, depth int
+	// rank is the number of its peers before the suspect.
+	rank int
+	turn uint64
+}
+
 // sortByPriority sorts suspects by descending number of crashes. Among those with the same number,
 // each request in turn has one part, the last one first, and each crash one request, so that large
 // ones do not precede the others. turn decides about the rest.
 func (t *Tracker) sortByPriority(list []string, turn uint64) {
-	slices.SortFunc(list, func(a, b string) int {
-		return cmp.Or(
-			cmp.Compare(t.suspects[b].depth, t.suspects[a].depth),
-			cmp.Compare(mix(t.first.hash(a), turn), mix(t.first.hash(b), turn)),
-		)
+	order := make([]priority, len(list))
+	for i, suspect := range list {
+		e := t.suspects[suspect]
+		order[i] = priority{suspect: suspect, crashes: len(e.sightings), depth: e.depth, turn: mix(t.first.hash(suspect), turn)}
+	}
+	slices.SortFunc(order, func(a, b priority) int {
+		return cmp.Or(cmp.Compare(b.depth, a.depth), cmp.Compare(a.turn, b.turn))
 	})
-	places := make(map[peers]int)
-	ranks := make(map[string]int, len(list))
-	for _, suspect := range list {
-		p := t.peersOf(suspect)
-		ranks[suspect] = places[p]
-		places[p]++
+	peerCounts := make(map[peers]int)
+	for i := range order {
+		p := t.peersOf(order[i].suspect)
+		order[i].rank = peerCounts[p]
+		peerCounts[p]++
 	}
-	slices.SortStableFunc(list, func(a, b string) int {
-		return cmp.Or(
-			cmp.Compare(len(t.suspects[b].sightings), len(t.suspects[a].sightings)),
-			cmp.Compare(ranks[a], ranks[b]),
-		)
+	slices.SortStableFunc(order, func(a, b priority) int {
+		return cmp.Or(cmp.Compare(b.crashes, a.crashes), cmp.Compare(a.rank, b.rank))
 	})
+	for i, p := range order {
+		list[i] = p.suspect
+	}
 }
--- a/internal/quarantine/request_test.go
+++ b/internal/quarantine/request_test.go
@@ -393,3 +393,22 @@
 		tracker.Due(40 * time.Second)
 	}
 }
+
+// Guards against a leader that spends its time on the evidence of requests with thousands of parts,
+// of which none completes.
+func BenchmarkDueOfManyParts(b *testing.B) {
+	tracker := NewTracker()
+	for i := range 6 {
+		var requests []BrokenRequest
+		for j := range 128 {
+			requests = append(requests, request(fmt.Sprint("repeated-", j)))
+		}
+		for j := range 4 {
+			requests = append(requests, request(fmt.Sprint("large-", i, "-", j), names(fmt.Sprint(j, "-"), 4000)...))
+		}
+		crashOf(tracker, fmt.Sprint(i), float64(i), requests...)
+	}
+	for b.Loop() {
+		tracker.Due(10 * time.Second)
+	}
+}
