core: batches of reports are limited in size, each with a time limit of its own

What was relayed is not repeated, and a slow call delays only its own batch.

TestBatchesAreLimitedInSize checks the batcher.

--- a/internal/edge/batcher.go
+++ b/internal/edge/batcher.go
@@ -24,7 +24,11 @@
 	// run carries out a batch and returns the results in the order of the inputs.
 	run    func(context.Context, []In) ([]Out, error)
 	limits batchLimits
-	queue  chan *batchedCall[In, Out]
+	// size returns the size of an input for limits.maxSize; nil if there is no such limit.
+	size  func(In) int
+	queue chan *batchedCall[In, Out]
+	// next is the first call of the next batch, if it did not fit into the last one.
+	next *batchedCall[In, Out]
 }
 
 // batchLimits are the time limits of a batcher.
@@ -35,6 +39,8 @@
 	interval time.Duration
 	// timeout limits one batch.
 	timeout time.Duration
+	// maxSize limits the sum of the sizes of the inputs in one batch of several calls.
+	maxSize int
 }
 
 type batchedCall[In, Out any] struct {
@@ -74,25 +80,38 @@
 func (b *batcher[In, Out]) serve(ctx context.Context) {
 	var lastStart time.Duration
 	for {
-		select {
-		case <-ctx.Done():
-			return
-		case first := <-b.queue:
-			wait := max(b.limits.gather, lastStart+b.limits.interval-boottime.Now())
-			if wait > 0 && !pause.For(ctx, wait) {
+		first := b.next
+		if first == nil {
+			select {
+			case <-ctx.Done():
 				return
+			case first = <-b.queue:
 			}
-			lastStart = boottime.Now()
-			b.runBatch(ctx, b.collect(first))
 		}
+		wait := max(b.limits.gather, lastStart+b.limits.interval-boottime.Now())
+		if wait > 0 && !pause.For(ctx, wait) {
+			return
+		}
+		lastStart = boottime.Now()
+		b.runBatch(ctx, b.collect(first))
 	}
 }
 
-// collect returns the pending calls except those whose callers have given up.
+// collect returns the pending calls, up to the limit of their size, except those whose callers have
+// given up.
 func (b *batcher[In, Out]) collect(first *batchedCall[In, Out]) []*batchedCall[In, Out] {
 	var pending []*batchedCall[In, Out]
+	b.next = nil
+	size := 0
 	for call := first; ; {
 		if call.ctx.Err() == nil {
+			if b.size != nil {
+				size += b.size(call.input)
+			}
+			if len(pending) > 0 && size > b.limits.maxSize {
+				b.next = call
+				return pending
+			}
 			pending = append(pending, call)
 		}
 		select {
--- a/internal/edge/batcher_test.go
+++ b/internal/edge/batcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -81,3 +82,45 @@
 		t.Errorf("call beyond the limit: %v, want %v", err, errOverloaded)
 	}
 }
+
+// Guards against a batch that its receiver rejects because of its size, and against a call that
+// exceeds the limit by itself and is never carried out.
+func TestBatchesAreLimitedInSize(t *testing.T) {
+	const maxSize = 10
+	largest := 0
+	b := newBatcher(batchLimits{gather: 20 * time.Millisecond, timeout: time.Second, maxSize: maxSize}, func(_ context.Context, inputs []int) ([]int, error) {
+		sum := 0
+		for _, input := range inputs {
+			sum += input
+		}
+		if len(inputs) > 1 {
+			largest = max(largest, sum)
+		}
+		return inputs, nil
+	})
+	b.size = func(input int) int { return input }
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		b.serve(ctx)
+	}()
+	var calls sync.WaitGroup
+	for i := range 40 {
+		size := 1 + i%5
+		if i%10 == 0 {
+			size = 3 * maxSize
+		}
+		calls.Go(func() {
+			if got, err := b.call(ctx, size); err != nil || got != size {
+				t.Errorf("a call of size %d has the result %d, %v", size, got, err)
+			}
+		})
+	}
+	calls.Wait()
+	cancel()
+	<-served
+	if largest > maxSize {
+		t.Errorf("a batch of several calls has the size %d, want %d at most", largest, maxSize)
+	}
+}
--- a/internal/edge/core.go
+++ b/internal/edge/core.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/cuminwing/cuminwing/internal/adapter/boottime"
 	"github.com/cuminwing/cuminwing/internal/adapter/disk"
@@ -237,7 +238,8 @@
 	c.barriers = newBatcher(batchLimits{timeout: readTimeout}, c.runBarrier)
 	c.startTask(c.stalls.Run)
 	c.startTask(c.barriers.serve)
-	c.relays = newBatcher(batchLimits{gather: relayGather, interval: relayInterval, timeout: relayTimeout}, c.relayReports)
+	c.relays = newBatcher(batchLimits{gather: relayGather, interval: relayInterval, timeout: relayTimeout, maxSize: maxRelayBytes}, c.relayReports)
+	c.relays.size = func(report *followv1.FrontReport) int { return proto.Size(report) }
 	c.startTask(c.relays.serve)
 	c.startTask(c.contactLeader)
 	c.announces = newBatcher(batchLimits{gather: announceGather, interval: announceInterval, timeout: proposeTimeout}, c.announceAll)
--- a/internal/edge/corerelay.go
+++ b/internal/edge/corerelay.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"iter"
 	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/cuminwing/cuminwing/internal/adapter/boottime"
 	"github.com/cuminwing/cuminwing/internal/fleetsync"
@@ -31,9 +29,9 @@
 	relayAttemptTimeout = 600 * time.Millisecond
 	// relayRetryDelay is the delay before a failed call is repeated.
 	relayRetryDelay = 20 * time.Millisecond
-	// maxRelayBytes limits the reports in one call. It leaves room for the rest of the call
-	// within maxPeerRequestBytes.
-	maxRelayBytes = maxPeerRequestBytes / 2
+	// maxRelayBytes limits the reports in one batch of several. The leader reads
+	// maxPeerRequestBytes of a call, and applies a batch well within relayAttemptTimeout.
+	maxRelayBytes = maxPeerRequestBytes / 8
 	// contactInterval is the time between two empty batches. They tell the leader
 	// the zone of a member that no front follows.
 	contactInterval = time.Second
@@ -86,41 +84,10 @@
 	}
 }
 
-// relayReports passes the reports of fronts to the leader, in calls that it accepts.
-func (c *Core) relayReports(ctx context.Context, reports []*followv1.FrontReport) ([]*relayedReport, error) {
-	var relayed []*relayedReport
-	for batch := range relayBatches(reports) {
-		results, err := c.relayBatch(ctx, batch)
-		if err != nil {
-			return nil, err
-		}
-		relayed = append(relayed, results...)
-	}
-	return relayed, nil
-}
-
-// relayBatches divides reports into batches of maxRelayBytes at most, or of one report.
-func relayBatches(reports []*followv1.FrontReport) iter.Seq[[]*followv1.FrontReport] {
-	return func(yield func([]*followv1.FrontReport) bool) {
-		first, size := 0, 0
-		for i, r := range reports {
-			n := proto.Size(r)
-			if i > first && size+n > maxRelayBytes {
-				if !yield(reports[first:i]) {
-					return
-				}
-				first, size = i, 0
-			}
-			size += n
-		}
-		yield(reports[first:])
-	}
-}
-
-// relayBatch passes the reports of fronts to the leader in one call, retrying for as long as
+// relayReports passes the reports of fronts to the leader, retrying for as long as
 // ctx allows. It returns once this replica has applied all entries committed before
 // the successful call. Nil reports are not passed on.
-func (c *Core) relayBatch(ctx context.Context, reports []*followv1.FrontReport) ([]*relayedReport, error) {
+func (c *Core) relayReports(ctx context.Context, reports []*followv1.FrontReport) ([]*relayedReport, error) {
 	request := &followv1.RelayRequest{Member: &followv1.CoreMember{Address: c.settings.selfPeerAddress(), Zone: c.settings.Zone}}
 	for _, r := range reports {
 		if r != nil {
